--- /dev/null
+++ b/src/main/java/pumicekeel/adapter/Decoder.java
@@ -0,0 +1,127 @@
+package pumicekeel.adapter;
+
+import pumicekeel.Balancer.AnswerStarted;
+import pumicekeel.Balancer.ClientGone;
+import pumicekeel.Balancer.Contract;
+import pumicekeel.Balancer.DedupScope;
+import pumicekeel.Balancer.Effect;
+import pumicekeel.Balancer.Event;
+import pumicekeel.Balancer.Limits;
+import pumicekeel.Balancer.ListKind;
+import pumicekeel.Balancer.ListNews;
+import pumicekeel.Balancer.Listed;
+import pumicekeel.Balancer.Outcome;
+import pumicekeel.Balancer.PeerMessage;
+import pumicekeel.Balancer.Prices;
+import pumicekeel.Balancer.ProbeResult;
+import pumicekeel.Balancer.Request;
+import pumicekeel.Balancer.RequestClass;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.Balancer.State;
+import pumicekeel.Balancer.Status;
+import pumicekeel.Balancer.Tenant;
+import pumicekeel.Balancer.TimerFired;
+import pumicekeel.Balancer.WeightKind;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+
+/** Translates the wire's events and settings into the module's. */
+final class Decoder {
+
+  private static final Map<String, Status> STATUS = Map.of("served", Status.SERVED, "server_error", Status.ERROR,
+      "turned_away", Status.FULL, "no_answer", Status.TIMEOUT, "no_connection", Status.CONNECT_FAILED,
+      "connection_lost", Status.RESET, "called_off", Status.CANCELLED, "not_sent", Status.NOT_SENT);
+  private static final Map<String, State> STATE =
+      Map.of("up", State.READY, "draining", State.DRAINING, "removed", State.GONE);
+  private static final Map<String, ListKind> LIST_KIND =
+      Map.of("D", ListKind.DELTA, "F", ListKind.FULL, "C", ListKind.CACHED, "X", ListKind.FAILED);
+  private static final Map<String, Effect> EFFECT =
+      Map.of("idempotent", Effect.SAFE, "deduplicated", Effect.KEYED, "at_most_once", Effect.UNSAFE);
+  private static final Map<String, DedupScope> SCOPE =
+      Map.of("all", DedupScope.ALL, "zone", DedupScope.ZONE, "cell", DedupScope.CELL);
+  private static final Map<String, WeightKind> WEIGHTS = Map.of("none", WeightKind.NONE, "nominal",
+      WeightKind.NOMINAL, "rough", WeightKind.ROUGH, "live", WeightKind.LIVE);
+  private static final Map<String, Boolean> LIST_MODE = Map.of("pushed", false, "on_request", true);
+
+  private Decoder() {}
+
+  /** An event by its wire name; start and stop of an instance are not among these. */
+  static Event event(String name, Fields f) {
+    return switch (name) {
+      case "Topology" -> topology(f);
+      case "JobIn" -> new Request(f.text("rid"), f.text("service"), tenant(f), f.text("object", null),
+          f.integer("drop-dead-ns"), f.integer("weight-hint-ns", 0), f.bool("retry", false));
+      case "First" -> new AnswerStarted(f.text("rid"), (int) f.integer("go"), f.integer("upstream"),
+          f.integer("wait-time-ns"));
+      case "Resolved" -> new Outcome(f.text("rid"), (int) f.integer("go"), f.integer("upstream"),
+          f.word("rc", STATUS), f.integer("wait-time-ns"), f.bool("done-flag"), f.load("usage"));
+      case "Aborted" -> new ClientGone(f.text("rid"));
+      case "Fired" -> new TimerFired(f.text("handle"));
+      case "HealthResult" -> new ProbeResult(f.integer("upstream"), f.word("rc", STATUS), f.integer("wait-time-ns"),
+          f.load("usage"));
+      case "Datagram" -> new PeerMessage((int) f.integer("neighbour"), bytes(f));
+      default -> throw new WireException("field " + f.path() + ": unknown event");
+    };
+  }
+
+  /** Sites without tenants leave the field out or write 0. */
+  private static String tenant(Fields f) {
+    return f.values().get("user-group") instanceof Long none && none == 0 ? null : f.text("user-group", null);
+  }
+
+  private static byte[] bytes(Fields f) {
+    try {
+      return Base64.getDecoder().decode(f.text("octets"));
+    } catch (IllegalArgumentException e) {
+      throw new WireException("field " + f.path() + ".octets: expected base64");
+    }
+  }
+
+  private static ListNews topology(Fields f) {
+    ListKind kind = f.word("kind", LIST_KIND);
+    List<Listed> entries = new ArrayList<>();
+    if (kind != ListKind.FAILED || f.has("entries")) {
+      for (Fields e : f.objects("entries")) {
+        entries.add(new Listed(e.integer("upstream"), e.text("region-part", ""), (int) e.integer("pack", 0),
+            e.word("stage-state", STATE), e.integer("launched-ns", 0), e.number("capacity-hint", 1)));
+      }
+    }
+    return new ListNews(kind, entries);
+  }
+
+  /** The settings; unknown keys are skipped, absent ones get the defaults written here. */
+  static Settings settings(Fields f) {
+    List<RequestClass> classes = new ArrayList<>();
+    for (Fields c : f.objects("categories")) {
+      long aim = c.integer("aim-ns");
+      classes.add(new RequestClass(c.text("name"), c.word("effect", EFFECT, Effect.UNSAFE),
+          c.word("dedup-scope", SCOPE, DedupScope.CELL), c.integer("window-ns", 0), aim, c.number("aim-stretch", 0),
+          c.integer("deadline-ns", aim), c.number("gain", 1), c.number("late-worth", 0), c.bool("stream", false)));
+    }
+    List<Tenant> tenants = new ArrayList<>();
+    if (f.has("projects")) {
+      for (Fields t : f.objects("projects")) {
+        tenants.add(new Tenant(t.text("name"), t.number("portion", 0), t.number("quota-per-s", 0)));
+      }
+    }
+    Fields l = f.nested("limits");
+    Limits limits = new Limits(l.bool("cancel", false), l.bool("probing", false), l.bool("peers", false),
+        l.bool("second-copies", false), l.bool("retry-after", false), l.integer("max-retry-after-ns", 0),
+        (int) l.integer("max-attempts", 1), (int) l.integer("most-held", Integer.MAX_VALUE),
+        (int) l.integer("multiplex", 1), l.integer("connect-timeout-ns", 250_000_000L));
+    boolean onRequest = f.word("registry-mode", LIST_MODE, false);
+    Fields c = f.nested("contract");
+    Contract contract = new Contract(c.integer("answer-slack-ns", 0),
+        c.integer("ask-within-ns", onRequest ? 10_000_000_000L : 0), c.integer("drain-grace-ns", 0),
+        c.number("cold-from", 0.1), c.integer("warm-within-ns", 30_000_000_000L), c.number("fall-multiple", 1),
+        c.integer("overload-for-ns", 1_000_000_000L));
+    Fields p = f.nested("prices");
+    Prices prices = new Prices(p.number("cross-zone", 0), p.number("waste", 0), p.number("late-fail", 0));
+    return new Settings((int) f.integer("me", 0), (int) f.integer("group-size", 1), f.text("zone", ""), classes,
+        tenants, limits, contract, prices, onRequest, f.word("weight-kind", WEIGHTS, WeightKind.NONE),
+        f.number("over-share-worth", 1), f.nested("domain").bool("warm-keys", false),
+        f.integer("resolution-ns", 1_000_000L));
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/adapter/Fields.java
@@ -0,0 +1,179 @@
+package pumicekeel.adapter;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A JSON object of the wire with checked access to its fields. */
+final class Fields {
+
+  private final String path;
+  private final Map<?, ?> values;
+
+  Fields(String path, Map<?, ?> values) {
+    this.path = path;
+    this.values = values;
+  }
+
+  /** Reads the value that the parser's current token starts. */
+  static Object read(JsonParser in) throws IOException {
+    JsonToken token = in.currentToken();
+    switch (token) {
+      case START_OBJECT -> {
+        Map<String, Object> object = new LinkedHashMap<>();
+        while (in.nextToken() != JsonToken.END_OBJECT) {
+          String name = in.currentName();
+          in.nextToken();
+          object.put(name, read(in));
+        }
+        return object;
+      }
+      case START_ARRAY -> {
+        List<Object> array = new ArrayList<>();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+          array.add(read(in));
+        }
+        return array;
+      }
+      case VALUE_STRING -> {
+        return in.getText();
+      }
+      case VALUE_NUMBER_INT -> {
+        if (in.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+          throw new WireException("number " + in.getText() + " does not fit 64 bits");
+        }
+        return in.getLongValue();
+      }
+      case VALUE_NUMBER_FLOAT -> {
+        return in.getDoubleValue();
+      }
+      case VALUE_TRUE, VALUE_FALSE -> {
+        return in.getBooleanValue();
+      }
+      default -> {
+        return null;
+      }
+    }
+  }
+
+  /** Casts a value to an object, or says what was expected. */
+  static Fields object(String path, Object value) {
+    if (value instanceof Map<?, ?> map) {
+      return new Fields(path, map);
+    }
+    throw bad(path, "an object", value);
+  }
+
+  private static WireException bad(String path, String expected, Object value) {
+    return new WireException("field " + path + ": expected " + expected + ", got "
+        + (value == null ? "nothing" : value instanceof String ? "\"" + value + "\"" : value.toString()));
+  }
+
+  private WireException bad(String name, String expected) {
+    return bad(path + "." + name, expected, values.get(name));
+  }
+
+  Map<?, ?> values() {
+    return values;
+  }
+
+  String path() {
+    return path;
+  }
+
+  boolean has(String name) {
+    return values.get(name) != null;
+  }
+
+  /** A whole number that has to be there. */
+  long integer(String name) {
+    if (values.get(name) instanceof Long number) {
+      return number;
+    }
+    throw bad(name, "a whole number");
+  }
+
+  long integer(String name, long absent) {
+    return has(name) ? integer(name) : absent;
+  }
+
+  double number(String name, double absent) {
+    if (!has(name)) {
+      return absent;
+    }
+    if (values.get(name) instanceof Number number) {
+      return number.doubleValue();
+    }
+    throw bad(name, "a number");
+  }
+
+  boolean bool(String name) {
+    if (values.get(name) instanceof Boolean flag) {
+      return flag;
+    }
+    throw bad(name, "true or false");
+  }
+
+  boolean bool(String name, boolean absent) {
+    return has(name) ? bool(name) : absent;
+  }
+
+  String text(String name) {
+    if (values.get(name) instanceof String text) {
+      return text;
+    }
+    throw bad(name, "a text");
+  }
+
+  String text(String name, String absent) {
+    return has(name) ? text(name) : absent;
+  }
+
+  /** A nested object; an empty one where it is absent. */
+  Fields nested(String name) {
+    return has(name) ? object(path + "." + name, values.get(name)) : new Fields(path + "." + name, Map.of());
+  }
+
+  /** An array of objects that has to be there. */
+  List<Fields> objects(String name) {
+    if (!(values.get(name) instanceof List<?> list)) {
+      throw bad(name, "an array");
+    }
+    List<Fields> out = new ArrayList<>(list.size());
+    for (int i = 0; i < list.size(); i++) {
+      out.add(object(path + "." + name + "[" + i + "]", list.get(i)));
+    }
+    return out;
+  }
+
+  /** One of the words; the table maps the wire's words to the module's. */
+  <T> T word(String name, Map<String, T> words) {
+    T word = words.get(text(name));
+    if (word == null) {
+      throw bad(name, "one of " + new java.util.TreeSet<>(words.keySet()));
+    }
+    return word;
+  }
+
+  <T> T word(String name, Map<String, T> words, T absent) {
+    return has(name) ? word(name, words) : absent;
+  }
+
+  /** A load report: its numbers by name, anything else skipped; empty where none came. */
+  Map<String, Double> load(String name) {
+    if (!has(name)) {
+      return Map.of();
+    }
+    Map<String, Double> out = new LinkedHashMap<>();
+    for (Map.Entry<?, ?> entry : nested(name).values.entrySet()) {
+      if (entry.getValue() instanceof Number number) {
+        out.put((String) entry.getKey(), number.doubleValue());
+      }
+    }
+    return out;
+  }
+}
