Add the real balancer: the module on sockets, one Netty event loop

Seen: the project had the module and its adapter only.

The adapter's Fields and Decoder are public now, so that configuration, list and settings are read by one decoder; Link's parse moved into Fields. Limits has the idle time of connections, which the pool needs.

--- a/src/main/java/pumicekeel/Balancer.java
+++ b/src/main/java/pumicekeel/Balancer.java
@@ -65,7 +65,8 @@
 
   /** What the deployment allows. {@code maxOpen} is the most requests one balancer holds. */
   record Limits(boolean cancel, boolean probes, boolean peers, boolean secondCopies, boolean retryAfter,
-      long maxRetryAfterNanos, int maxAttempts, int maxOpen, int streamsPerConnection, long connectTimeoutNanos) {}
+      long maxRetryAfterNanos, int maxAttempts, int maxOpen, int streamsPerConnection, long connectTimeoutNanos,
+      long connectionIdleNanos) {}
 
   /** The figures of the four rules. {@code askWithinNanos} is 0 where the list is pushed. */
   record Contract(long answerSlackNanos, long askWithinNanos, long drainGraceNanos, double coldFrom,
--- a/src/main/java/pumicekeel/adapter/Decoder.java
+++ b/src/main/java/pumicekeel/adapter/Decoder.java
@@ -28,7 +28,7 @@
 import java.util.Map;
 
 /** Translates the wire's events and settings into the module's. */
-final class Decoder {
+public final class Decoder {
 
   private static final Map<String, Status> STATUS = Map.of("served", Status.SERVED, "server_error", Status.ERROR,
       "turned_away", Status.FULL, "no_answer", Status.TIMEOUT, "no_connection", Status.CONNECT_FAILED,
@@ -92,7 +92,7 @@
   }
 
   /** The settings; unknown keys are skipped, absent ones get the defaults written here. */
-  static Settings settings(Fields f) {
+  public static Settings settings(Fields f) {
     List<RequestClass> classes = new ArrayList<>();
     for (Fields c : f.objects("categories")) {
       long aim = c.integer("aim-ns");
@@ -110,7 +110,8 @@
     Limits limits = new Limits(l.bool("cancel", false), l.bool("probing", false), l.bool("peers", false),
         l.bool("second-copies", false), l.bool("retry-after", false), l.integer("max-retry-after-ns", 0),
         (int) l.integer("max-attempts", 1), (int) l.integer("most-held", Integer.MAX_VALUE),
-        (int) l.integer("multiplex", 1), l.integer("connect-timeout-ns", 250_000_000L));
+        (int) l.integer("multiplex", 1), l.integer("connect-timeout-ns", 250_000_000L),
+        l.integer("conn-idle-ns", 15_000_000_000L));
     boolean onRequest = f.word("registry-mode", LIST_MODE, false);
     Fields c = f.nested("contract");
     Contract contract = new Contract(c.integer("answer-slack-ns", 0),
--- a/src/main/java/pumicekeel/adapter/Fields.java
+++ b/src/main/java/pumicekeel/adapter/Fields.java
@@ -1,5 +1,6 @@
 package pumicekeel.adapter;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
@@ -9,7 +10,9 @@
 import java.util.Map;
 
 /** A JSON object of the wire with checked access to its fields. */
-final class Fields {
+public final class Fields {
+
+  private static final JsonFactory JSON = new JsonFactory();
 
   private final String path;
   private final Map<?, ?> values;
@@ -19,6 +22,20 @@
     this.values = values;
   }
 
+  /** Reads a text that holds one JSON object and nothing else. */
+  public static Fields parse(String path, String text) throws IOException {
+    try (JsonParser parser = JSON.createParser(text)) {
+      if (parser.nextToken() == null) {
+        throw new WireException("expected a " + path + ", got an empty line");
+      }
+      Object value = read(parser);
+      if (parser.nextToken() != null) {
+        throw new WireException("expected one value a line, got more");
+      }
+      return object(path, value);
+    }
+  }
+
   /** Reads the value that the parser's current token starts. */
   static Object read(JsonParser in) throws IOException {
     JsonToken token = in.currentToken();
@@ -85,23 +102,23 @@
     return path;
   }
 
-  boolean has(String name) {
+  public boolean has(String name) {
     return values.get(name) != null;
   }
 
   /** A whole number that has to be there. */
-  long integer(String name) {
+  public long integer(String name) {
     if (values.get(name) instanceof Long number) {
       return number;
     }
     throw bad(name, "a whole number");
   }
 
-  long integer(String name, long absent) {
+  public long integer(String name, long absent) {
     return has(name) ? integer(name) : absent;
   }
 
-  double number(String name, double absent) {
+  public double number(String name, double absent) {
     if (!has(name)) {
       return absent;
     }
@@ -118,28 +135,28 @@
     throw bad(name, "true or false");
   }
 
-  boolean bool(String name, boolean absent) {
+  public boolean bool(String name, boolean absent) {
     return has(name) ? bool(name) : absent;
   }
 
-  String text(String name) {
+  public String text(String name) {
     if (values.get(name) instanceof String text) {
       return text;
     }
     throw bad(name, "a text");
   }
 
-  String text(String name, String absent) {
+  public String text(String name, String absent) {
     return has(name) ? text(name) : absent;
   }
 
   /** A nested object; an empty one where it is absent. */
-  Fields nested(String name) {
+  public Fields nested(String name) {
     return has(name) ? object(path + "." + name, values.get(name)) : new Fields(path + "." + name, Map.of());
   }
 
   /** An array of objects that has to be there. */
-  List<Fields> objects(String name) {
+  public List<Fields> objects(String name) {
     if (!(values.get(name) instanceof List<?> list)) {
       throw bad(name, "an array");
     }
@@ -151,7 +168,7 @@
   }
 
   /** One of the words; the table maps the wire's words to the module's. */
-  <T> T word(String name, Map<String, T> words) {
+  public <T> T word(String name, Map<String, T> words) {
     T word = words.get(text(name));
     if (word == null) {
       throw bad(name, "one of " + new java.util.TreeSet<>(words.keySet()));
--- a/src/main/java/pumicekeel/adapter/Link.java
+++ b/src/main/java/pumicekeel/adapter/Link.java
@@ -4,7 +4,6 @@
 import pumicekeel.AdaptiveBalancer;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
@@ -37,7 +36,7 @@
       line++;
       reply.reset();
       try (JsonGenerator generator = json.createGenerator(reply)) {
-        answer(parse(text), generator);
+        answer(Fields.parse("batch", text), generator);
       } catch (JsonProcessingException e) {
         throw new WireException("line " + line + ": not JSON: " + e.getOriginalMessage());
       } catch (WireException | IllegalArgumentException e) {
@@ -49,19 +48,6 @@
     }
   }
 
-  private Fields parse(String text) throws IOException {
-    try (JsonParser parser = json.createParser(text)) {
-      if (parser.nextToken() == null) {
-        throw new WireException("expected a batch, got an empty line");
-      }
-      Object value = Fields.read(parser);
-      if (parser.nextToken() != null) {
-        throw new WireException("expected one value a line, got more");
-      }
-      return Fields.object("batch", value);
-    }
-  }
-
   private void answer(Fields batch, JsonGenerator generator) throws IOException {
     long now = batch.integer("clock-ns");
     generator.writeStartObject();
--- a/src/main/java/pumicekeel/adapter/WireException.java
+++ b/src/main/java/pumicekeel/adapter/WireException.java
@@ -1,7 +1,7 @@
 package pumicekeel.adapter;
 
 /** Malformed input; the message says what was wrong and, once known, on which line. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
 
   private static final long serialVersionUID = 1L;
 
--- /dev/null
+++ b/src/main/java/pumicekeel/node/Answer.java
@@ -0,0 +1,4 @@
+package pumicekeel.node;
+
+/** The body of an upstream's answer, and its type or null. */
+record Answer(byte[] body, String contentType) {}
--- /dev/null
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -0,0 +1,253 @@
+package pumicekeel.node;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import pumicekeel.Balancer;
+import pumicekeel.Balancer.Action;
+import pumicekeel.Balancer.Cancel;
+import pumicekeel.Balancer.ClientGone;
+import pumicekeel.Balancer.Event;
+import pumicekeel.Balancer.Fail;
+import pumicekeel.Balancer.ListKind;
+import pumicekeel.Balancer.ListNews;
+import pumicekeel.Balancer.Listed;
+import pumicekeel.Balancer.Outcome;
+import pumicekeel.Balancer.Refuse;
+import pumicekeel.Balancer.Request;
+import pumicekeel.Balancer.Send;
+import pumicekeel.Balancer.SetTimer;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.Balancer.State;
+import pumicekeel.Balancer.Status;
+import pumicekeel.Balancer.TimerFired;
+import pumicekeel.Balancer.Watch;
+
+/** The table of open requests: tells the module what happens on the sockets and carries out what it decides. */
+final class BalancerCore {
+
+  /** An answer goes out this long before the client stops waiting, so that a busy core still is in time. */
+  static final long ANSWER_MARGIN_NANOS = 60_000_000L;
+  /** The node's own answer where the module gave none in time, after the module's deadline. */
+  private static final long GUARD_NANOS = 20_000_000L;
+  /** Stay clear of the grace's end: a send counts at its first byte. */
+  private static final long DRAIN_MARGIN_NANOS = 200_000_000L;
+
+  private final Settings settings;
+  private final Balancer module;
+  private final Clock clock;
+  private final EventLoop loop;
+  private final ConnectionPool pool;
+  private final Consumer<RuntimeException> defect;
+  private final Map<String, OpenRequest> table = new HashMap<>();
+  private final Map<Long, Known> upstreams = new HashMap<>();
+  private final Queue<Event> events = new ArrayDeque<>();
+  private final List<OpenRequest> over = new ArrayList<>();
+  private Consumer<Boolean> watch = on -> {};
+  private boolean handling;
+
+  /** An upstream as the list last named it; {@code leavingSince} is 0 while it is ready. */
+  private record Known(InetSocketAddress address, long leavingSince) {}
+
+  BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, ConnectionPool pool,
+      Consumer<RuntimeException> defect) {
+    this.settings = settings;
+    this.module = module;
+    this.clock = clock;
+    this.loop = loop;
+    this.pool = pool;
+    this.defect = defect;
+  }
+
+  /** Starts with the list as last held; {@code watch} carries out the module's wish to follow it. */
+  void start(HostList known, Consumer<Boolean> watch) {
+    this.watch = watch;
+    news(ListKind.CACHED, known);
+  }
+
+  int open() {
+    return table.size();
+  }
+
+  // ---- Clients ------------------------------------------------------------------------------------------
+
+  /** Takes a request; false where its id is open already, which must not replace the first one. */
+  boolean take(ClientRequest request, Client client) {
+    OpenRequest r = new OpenRequest(request, client);
+    if (table.putIfAbsent(request.id(), r) != null) {
+      return false;
+    }
+    long left = Math.max(0, request.leftNanos() - ANSWER_MARGIN_NANOS);
+    r.guard = loop.schedule(() -> answerForModule(r), left + GUARD_NANOS, TimeUnit.NANOSECONDS);
+    tell(new Request(request.id(), request.type().name(), request.tenant(), request.key(), clock.now() + left,
+        request.hintNanos(), request.retry()));
+    return true;
+  }
+
+  void clientGone(String id) {
+    OpenRequest r = table.get(id);
+    if (r != null && end(r)) {
+      tell(new ClientGone(id));
+    }
+  }
+
+  /** Guards against a module that leaves a request without its answer until the client's time is up. */
+  private void answerForModule(OpenRequest r) {
+    if (end(r)) {
+      Log.line("answered for the module: " + r.request.id());
+      giveUp(r, 0);
+      tell(new ClientGone(r.request.id()));
+    }
+  }
+
+  private static void giveUp(OpenRequest r, long retryAfterNanos) {
+    if (r.mayRefuse()) {
+      r.client.refused(retryAfterNanos);
+    } else {
+      r.client.failed();
+    }
+  }
+
+  /** Answers all that is open, for an end that leaves no time. */
+  void answerAll() {
+    for (OpenRequest r : List.copyOf(table.values())) {
+      if (end(r)) {
+        giveUp(r, 0);
+      }
+    }
+  }
+
+  /** True once: the caller then owes the client the only final answer. */
+  private boolean end(OpenRequest r) {
+    if (r.ended) {
+      return false;
+    }
+    r.ended = true;
+    r.guard.cancel(false);
+    over.add(r);
+    return true;
+  }
+
+  // ---- The list of upstreams ----------------------------------------------------------------------------
+
+  void news(HostList list) {
+    news(list.whole() ? ListKind.FULL : ListKind.DELTA, list);
+  }
+
+  private void news(ListKind kind, HostList list) {
+    long now = clock.now();
+    Map<Long, Known> before = Map.copyOf(upstreams);
+    if (kind != ListKind.DELTA) {
+      upstreams.replaceAll((id, k) -> k.leavingSince > 0 ? k : new Known(k.address, now));
+    }
+    for (HostList.Host host : list.hosts()) {
+      Listed listed = host.listed();
+      Known old = before.get(listed.upstream());
+      if (old != null && !old.address.equals(host.address())) {
+        pool.closeIdle(old.address);
+      }
+      long since = old != null && old.leavingSince > 0 ? old.leavingSince : now;
+      upstreams.put(listed.upstream(), new Known(host.address(), listed.state() == State.READY ? 0 : since));
+    }
+    tell(new ListNews(kind, list.hosts().stream().map(HostList.Host::listed).toList()));
+  }
+
+  void watchFailed() {
+    tell(new ListNews(ListKind.FAILED, List.of()));
+  }
+
+  // ---- The module ---------------------------------------------------------------------------------------
+
+  /** Events wait in line while one is handled: an action may end at once in an event of its own. */
+  private void tell(Event event) {
+    events.add(event);
+    if (handling) {
+      return;
+    }
+    handling = true;
+    try {
+      for (Event next = events.poll(); next != null; next = events.poll()) {
+        module.handle(clock.now(), next, this::perform);
+      }
+      over.stream().filter(OpenRequest::over).forEach(r -> table.remove(r.request.id(), r));
+      over.clear();
+    } catch (RuntimeException e) {
+      defect.accept(e);
+    } finally {
+      handling = false;
+    }
+  }
+
+  /** Exhaustive over the kinds of action; those that this module never emits are an error that names them. */
+  private void perform(Action action) {
+    if (action instanceof Send a) {
+      send(a);
+    } else if (action instanceof Cancel a) {
+      cancel(a);
+    } else if (action instanceof Refuse a) {
+      OpenRequest r = table.get(a.id());
+      if (r != null && end(r)) {
+        r.client.refused(a.retryAfterNanos());
+      }
+    } else if (action instanceof Fail a) {
+      OpenRequest r = table.get(a.id());
+      if (r != null && end(r)) {
+        r.client.failed();
+      }
+    } else if (action instanceof SetTimer a) {
+      loop.schedule(() -> tell(new TimerFired(a.token())), Math.max(0, a.atNanos() - clock.now()),
+          TimeUnit.NANOSECONDS);
+    } else if (action instanceof Watch a) {
+      watch.accept(a.on());
+    } else if (action instanceof Balancer.Log a) {
+      Log.line("module: " + a.text());
+    } else {
+      throw new IllegalStateException("the module asked for what this balancer has no use of: "
+          + action.getClass().getSimpleName());
+    }
+  }
+
+  private void send(Send a) {
+    OpenRequest r = table.get(a.id());
+    Known known = upstreams.get(a.upstream());
+    if (r == null || known == null) {
+      throw new IllegalStateException("the module sent an unknown request or to an unknown upstream");
+    }
+    UpstreamAttempt attempt = new UpstreamAttempt(r.attempts.size(), a.upstream(), clock.now(), known.address, pool,
+        (ended, status, answer) -> ended(r, ended, status, answer));
+    // Checked where the attempt's first byte goes out, which may be a connect later than the decision.
+    boolean counts = r.attempts.size() < settings.limits().maxAttempts();
+    r.attempts.add(attempt);
+    attempt.start(r.request, a.timeoutNanos(), () -> counts && maySend(r, a.upstream()), clock, loop);
+  }
+
+  private boolean maySend(OpenRequest r, long upstream) {
+    long now = clock.now();
+    long leaving = upstreams.get(upstream).leavingSince;
+    boolean drained = leaving > 0 && now - leaving > settings.contract().drainGraceNanos() - DRAIN_MARGIN_NANOS;
+    return !r.ended && !drained && r.repeatIsHarmless(now);
+  }
+
+  private void cancel(Cancel a) {
+    OpenRequest r = table.get(a.id());
+    if (r != null && a.attempt() < r.attempts.size()) {
+      r.attempts.get(a.attempt()).end(Status.CANCELLED, null);
+    }
+  }
+
+  private void ended(OpenRequest r, UpstreamAttempt attempt, Status status, Answer answer) {
+    if (status == Status.SERVED && end(r)) {
+      r.client.served(answer);
+    }
+    over.add(r);
+    tell(new Outcome(r.request.id(), attempt.number, attempt.upstream, status, clock.now() - attempt.decidedAt,
+        r.ended, Map.of()));
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/node/ClientRequest.java
@@ -0,0 +1,78 @@
+package pumicekeel.node;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import pumicekeel.Balancer.Effect;
+import pumicekeel.Balancer.RequestClass;
+import pumicekeel.Balancer.Settings;
+
+/** A client's request, checked against the protocol and the settings. */
+record ClientRequest(String id, RequestClass type, String tenant, String key, long leftNanos, long hintNanos,
+    boolean retry, HttpMethod method, String uri, String host, String idempotencyKey, String contentType,
+    byte[] body) {
+
+  static final String ID = "X-Correlation-Id";
+  static final String TIME_LEFT = "X-Time-Left-Ms";
+  static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+  /** A request that breaks the protocol; carries the 4xx status and what is wrong. */
+  static final class Bad extends Exception {
+    private static final long serialVersionUID = 1L;
+    final int status;
+
+    Bad(int status, String what) {
+      super(what);
+      this.status = status;
+    }
+  }
+
+  static ClientRequest of(HttpRequest head, byte[] body, Settings settings) throws Bad {
+    HttpHeaders h = head.headers();
+    String name = needed(h, "X-Service-Class");
+    RequestClass type = settings.classes().stream().filter(c -> c.name().equals(name)).findFirst()
+        .orElseThrow(() -> new Bad(400, "unknown class"));
+    String path = head.uri().split("\\?", 2)[0];
+    if (!path.equals("/" + name) && !path.startsWith("/" + name + "/")) {
+      throw new Bad(400, "the path does not begin with the class");
+    }
+    String tenant = h.get("X-Account");
+    if (!settings.tenants().isEmpty() && settings.tenants().stream().noneMatch(t -> t.name().equals(tenant))) {
+      throw new Bad(400, "unknown tenant");
+    }
+    if (!head.method().equals(type.effect() == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
+      throw new Bad(405, "wrong method for the class");
+    }
+    String idempotencyKey = h.get(IDEMPOTENCY_KEY);
+    if (type.effect() == Effect.KEYED && idempotencyKey == null) {
+      throw new Bad(400, "no " + IDEMPOTENCY_KEY);
+    }
+    long left = number(TIME_LEFT, needed(h, TIME_LEFT)) * 1_000_000L;
+    long hint = number("X-Weight-Hint", h.get("X-Weight-Hint", "0")) * 1_000L;
+    return new ClientRequest(needed(h, ID), type, tenant, h.get("X-Session-Key"),
+        Math.min(left, type.deadlineNanos()), hint, "1".equals(h.get("X-Repeat")), head.method(), head.uri(),
+        h.get(HttpHeaderNames.HOST, ""), idempotencyKey, h.get(HttpHeaderNames.CONTENT_TYPE), body);
+  }
+
+  private static String needed(HttpHeaders headers, String name) throws Bad {
+    String value = headers.get(name);
+    if (value == null || value.isEmpty()) {
+      throw new Bad(400, "no " + name);
+    }
+    return value;
+  }
+
+  /** A count that stays far from overflow when it is turned into nanoseconds. */
+  private static long number(String name, String text) throws Bad {
+    try {
+      long value = Long.parseLong(text);
+      if (value >= 0 && value <= 1_000_000_000_000L) {
+        return Math.min(value, 1_000_000_000L);
+      }
+    } catch (NumberFormatException e) {
+      // Said below.
+    }
+    throw new Bad(400, "bad " + name);
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -0,0 +1,166 @@
+package pumicekeel.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import pumicekeel.adapter.Fields;
+
+/**
+ * The watch on discovery. Each call of {@link #watch} ends in news or in one failure; asking again after a failure,
+ * and how soon, is the module's decision.
+ */
+final class Discovery {
+
+  /** A heartbeat comes every 2 s; three that stay out mean a connection that nobody serves any more. */
+  static final long SILENCE_MILLIS = 7_000;
+  private static final int CONNECT_MILLIS = 2_000;
+  /** Far above any list; a line without an end must not fill the memory. */
+  private static final int MAX_LINE = 4 << 20;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final long silenceMillis;
+  private final Consumer<HostList> news;
+  private final Runnable failed;
+  private long index;
+  private Channel current;
+
+  Discovery(EventLoop loop, InetSocketAddress address, long index, long silenceMillis, Consumer<HostList> news,
+      Runnable failed) {
+    this.loop = loop;
+    this.address = address;
+    this.index = index;
+    this.silenceMillis = silenceMillis;
+    this.news = news;
+    this.failed = failed;
+  }
+
+  /** Starts a watch, in place of the one that may be on, or ends it. */
+  void watch(boolean on) {
+    Channel before = current;
+    current = null;
+    if (before != null) {
+      before.close();
+    }
+    if (!on) {
+      return;
+    }
+    WatchHandler handler = new WatchHandler();
+    current = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+        .handler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new HttpClientCodec(), handler);
+          }
+        }).connect(address).addListener(connected -> {
+          if (!connected.isSuccess()) {
+            handler.end("cannot connect");
+          }
+        }).channel();
+    handler.channel = current;
+  }
+
+  /** Reads one watch: lines may be split anywhere over the chunks. */
+  private final class WatchHandler extends SimpleChannelInboundHandler<HttpObject> {
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private Channel channel;
+    private ScheduledFuture<?> silence;
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+          "/discovery/hosts?watch=1&after=" + index);
+      request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+      ctx.writeAndFlush(request);
+      heard();
+    }
+
+    /** Guards against a discovery that vanished: its connection stays open and says nothing for ever. */
+    private void heard() {
+      if (silence != null) {
+        silence.cancel(false);
+      }
+      silence = loop.schedule(() -> end("silent"), silenceMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
+      heard();
+      if (message.decoderResult().isFailure()) {
+        end("malformed answer");
+      } else if (message instanceof HttpResponse response && response.status().code() != 200) {
+        end("answer " + response.status().code());
+      } else if (message instanceof HttpContent part) {
+        read(part.content());
+        if (message instanceof LastHttpContent) {
+          end("ended");
+        }
+      }
+    }
+
+    private void read(ByteBuf part) throws IOException {
+      while (part.isReadable() && current == channel) {
+        int length = part.bytesBefore((byte) '\n');
+        part.readBytes(line, length < 0 ? part.readableBytes() : length);
+        if (line.size() > MAX_LINE) {
+          end("a line without an end");
+        } else if (length >= 0) {
+          part.skipBytes(1);
+          String text = line.toString(StandardCharsets.UTF_8);
+          line.reset();
+          if (!text.isBlank()) {
+            HostList list = HostList.of(Fields.parse("list", text));
+            index = list.index();
+            news.accept(list);
+          }
+        }
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      end("connection ended");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      end(cause.toString());
+    }
+
+    /** Ends this watch once; one that was replaced or stopped is nobody's failure. */
+    private void end(String why) {
+      if (silence != null) {
+        silence.cancel(false);
+      }
+      channel.close();
+      if (current == channel) {
+        current = null;
+        Log.line("discovery: watch failed: " + why);
+        failed.run();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -0,0 +1,115 @@
+package pumicekeel.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import pumicekeel.AdaptiveBalancer;
+
+/** One real balancer: the module on sockets, all of it on one event-loop thread. */
+public final class Node {
+
+  /** Shares of the sockets for clients and for upstreams; the rest is for discovery and the process itself. */
+  private static final double CLIENT_SHARE = 0.45;
+  private static final double UPSTREAM_SHARE = 0.4;
+  /** After SIGTERM: clients still come for 0.4 s, and what is taken after 0.7 s may be lost. */
+  private static final long ACCEPT_MILLIS = 500;
+  private static final long TAKE_MILLIS = 600;
+  private static final long POLL_MILLIS = 10;
+
+  private final EventLoop loop =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final Configuration configuration;
+  private final Runnable crash;
+  private final BalancerCore core;
+  private final ClientSide clients;
+  private final Discovery discovery;
+  private final CountDownLatch drained = new CountDownLatch(1);
+
+  /** Makes a balancer; {@code crash} ends the process after a defect of the module. */
+  Node(Configuration configuration, Runnable crash) {
+    this.configuration = configuration;
+    this.crash = crash;
+    var settings = configuration.settings();
+    ConnectionPool pool = new ConnectionPool(loop, settings.limits().connectTimeoutNanos(),
+        settings.limits().connectionIdleNanos(), (int) (configuration.sockets() * UPSTREAM_SHARE));
+    core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), new Clock(), loop, pool,
+        this::defect);
+    clients = new ClientSide(loop, settings, core, (int) (configuration.sockets() * CLIENT_SHARE));
+    discovery = new Discovery(loop, configuration.discovery(), configuration.known().index(),
+        Discovery.SILENCE_MILLIS, core::news, core::watchFailed);
+  }
+
+  /** Runs a balancer until SIGTERM; the exit status, 2 for a configuration or an address that is no good. */
+  public static int serve(Map<String, String> environment, PrintStream err) throws InterruptedException {
+    Node node;
+    try {
+      Configuration configuration = Configuration.read(environment);
+      node = new Node(configuration, () -> Runtime.getRuntime().halt(1));
+      node.start();
+    } catch (IOException | RuntimeException e) {
+      err.println("configuration: " + String.valueOf(e.getMessage()).replace('\n', ' ') + ": "
+          + e.getClass().getSimpleName());
+      return 2;
+    }
+    // A hook, since Java's own answer to SIGTERM is to end at once; halt, for its status would be 143.
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+      node.drain();
+      node.awaitDrained();
+      Runtime.getRuntime().halt(0);
+    }, "drain"));
+    node.awaitDrained();
+    return 0;
+  }
+
+  /** Listens and follows the list; the address that clients connect to. */
+  InetSocketAddress start() throws InterruptedException {
+    InetSocketAddress address = clients.listen(configuration.listen());
+    loop.execute(() -> {
+      core.start(configuration.known(), discovery::watch);
+      clients.setReady();
+      Log.line(configuration.name() + " serves at " + address);
+    });
+    return address;
+  }
+
+  /** Begins a planned stop: answers what was taken, takes nothing new after a while. */
+  void drain() {
+    loop.execute(() -> {
+      Log.line(configuration.name() + " drains");
+      clients.drain();
+      loop.schedule(clients::stopListening, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::takeNoMore, TAKE_MILLIS, TimeUnit.MILLISECONDS);
+    });
+  }
+
+  private void takeNoMore() {
+    clients.closeIdle();
+    if (clients.open() == 0) {
+      Log.line(configuration.name() + " has drained");
+      drained.countDown();
+    } else {
+      loop.schedule(this::takeNoMore, POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  void awaitDrained() {
+    try {
+      drained.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** A defect of the module: its word is worth nothing any more, so all that is open is answered without it. */
+  private void defect(RuntimeException e) {
+    Log.line("defect of the module: " + e + " at " + (e.getStackTrace().length == 0 ? "?" : e.getStackTrace()[0]));
+    core.answerAll();
+    crash.run();
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/node/UpstreamAttempt.java
@@ -0,0 +1,134 @@
+package pumicekeel.node;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import pumicekeel.Balancer.Status;
+
+/** One Send of the module: from the decision to exactly one outcome. */
+final class UpstreamAttempt {
+
+  /** Told how the attempt ended; the answer is null where none came whole. */
+  interface Ending {
+    void ended(UpstreamAttempt attempt, Status status, Answer answer);
+  }
+
+  final int number;
+  final long upstream;
+  final long decidedAt;
+  private final InetSocketAddress address;
+  private final ConnectionPool pool;
+  private final Ending ending;
+  private UpstreamConnection connection;
+  private ChannelFuture connecting;
+  private ScheduledFuture<?> timeout;
+  private boolean sent;
+  private long sentAt;
+  private Status status;
+
+  UpstreamAttempt(int number, long upstream, long decidedAt, InetSocketAddress address, ConnectionPool pool,
+      Ending ending) {
+    this.number = number;
+    this.upstream = upstream;
+    this.decidedAt = decidedAt;
+    this.address = address;
+    this.pool = pool;
+    this.ending = ending;
+  }
+
+  /** Sends on an idle connection or a new one; {@code maySend} is asked again right before the first byte. */
+  void start(ClientRequest request, long timeoutNanos, BooleanSupplier maySend, Clock clock, EventLoop loop) {
+    timeout = loop.schedule(() -> end(Status.TIMEOUT, null), Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
+    UpstreamConnection idle = pool.takeIdle(address);
+    if (idle != null) {
+      write(idle, request, timeoutNanos, maySend, clock);
+      return;
+    }
+    connecting = pool.connect(address);
+    if (connecting == null) {
+      end(Status.CONNECT_FAILED, null);
+      return;
+    }
+    connecting.addListener(done -> {
+      if (status != null) {
+        connecting.channel().close();
+      } else if (!done.isSuccess()) {
+        end(Status.CONNECT_FAILED, null);
+      } else {
+        write(connecting.channel().pipeline().get(UpstreamConnection.class), request, timeoutNanos, maySend, clock);
+      }
+    });
+  }
+
+  private void write(UpstreamConnection to, ClientRequest request, long timeoutNanos, BooleanSupplier maySend,
+      Clock clock) {
+    if (!maySend.getAsBoolean()) {
+      pool.giveBack(to);
+      end(Status.NOT_SENT, null);
+      return;
+    }
+    connection = to;
+    sent = true;
+    sentAt = clock.now();
+    long leftMillis = Math.max(1, (timeoutNanos - (sentAt - decidedAt)) / 1_000_000);
+    to.send(this, message(request, leftMillis));
+  }
+
+  private FullHttpRequest message(ClientRequest request, long leftMillis) {
+    FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
+        Unpooled.wrappedBuffer(request.body()));
+    message.headers().set(HttpHeaderNames.HOST, request.host())
+        .set(ClientRequest.ID, request.id())
+        .set(ClientRequest.TIME_LEFT, leftMillis)
+        .set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    if (request.idempotencyKey() != null) {
+      message.headers().set(ClientRequest.IDEMPOTENCY_KEY, request.idempotencyKey());
+    }
+    if (request.contentType() != null) {
+      message.headers().set(HttpHeaderNames.CONTENT_TYPE, request.contentType());
+    }
+    return message;
+  }
+
+  boolean out() {
+    return status == null;
+  }
+
+  /** Whether this attempt may have an effect by now. */
+  boolean mayHaveRun() {
+    return sent && (status == null || !status.provesNotRun());
+  }
+
+  long sentAt() {
+    return sentAt;
+  }
+
+  /** Ends the attempt once; one that ends otherwise than by an answer takes its connection with it. */
+  void end(Status how, Answer answer) {
+    if (status != null) {
+      return;
+    }
+    status = how;
+    timeout.cancel(false);
+    if (how == Status.TIMEOUT || how == Status.CANCELLED) {
+      if (connection != null) {
+        connection.close();
+      } else if (connecting != null) {
+        connecting.channel().close();
+      }
+    }
+    if (how == Status.TIMEOUT) {
+      // A machine that vanished keeps its connections open and silent: none of them is used again.
+      pool.closeIdle(address);
+    }
+    ending.ended(this, how, answer);
+  }
+}
--- a/src/test/java/pumicekeel/Driver.java
+++ b/src/test/java/pumicekeel/Driver.java
@@ -56,7 +56,7 @@
 
   static Settings settings(boolean onRequest, List<Tenant> tenants, RequestClass... classes) {
     return new Settings(0, 1, "a", List.of(classes), tenants,
-        new Limits(true, false, false, true, true, 1000 * MS, 4, 10_000, 1, 200 * MS),
+        new Limits(true, false, false, true, true, 1000 * MS, 4, 10_000, 1, 200 * MS, 5000 * MS),
         new Contract(8 * MS, onRequest ? 10_000 * MS : 0, 250 * MS, 0.3, 8000 * MS, 3, 3000 * MS),
         new Prices(0, 0, 0), onRequest, WeightKind.NONE, 0.2, true, MS);
   }
--- a/src/test/java/pumicekeel/StormTest.java
+++ b/src/test/java/pumicekeel/StormTest.java
@@ -137,7 +137,7 @@
     }
     return new Settings(0, 1 + random.nextInt(3), "z0", classes, List.of(new Tenant("t", 1, random.nextInt(200))),
         new Limits(random.nextBoolean(), false, false, random.nextBoolean(), true, 1000 * MS, 1 + random.nextInt(6),
-            40 + random.nextInt(1000), 1, 100 * MS),
+            40 + random.nextInt(1000), 1, 100 * MS, 5000 * MS),
         new Contract(12 * MS, random.nextBoolean() ? 10_000 * MS : 0, 0, 0.2, 5000 * MS, 3, 2000 * MS),
         new Prices(0, 0, 0), random.nextBoolean(), WeightKind.values()[random.nextInt(4)], 0.1, true, MS);
   }
