--- a/src/main/java/pumicekeel/node/ClientHandler.java
+++ b/src/main/java/pumicekeel/node/ClientHandler.java
@@ -98,8 +98,8 @@
     HttpRequest request = head;
     head = null;
     keepAlive = HttpUtil.isKeepAlive(request);
-    if (request.uri().equals("/up")) {
-      write(side.ready() ? 200 : 503, new byte[0], "text/plain", 0);
+    if (request.uri().equals("/up") || request.uri().equals(WarmUp.PATH) && !side.serves(WarmUp.PATH)) {
+      write(side.ready() || request.uri().equals(WarmUp.PATH) ? 200 : 503, new byte[0], "text/plain", 0);
       return;
     }
     try {
--- a/src/main/java/pumicekeel/node/ClientSide.java
+++ b/src/main/java/pumicekeel/node/ClientSide.java
@@ -68,6 +68,11 @@
     return settings;
   }
 
+  /** Whether the path is that of a class of requests. */
+  boolean serves(String path) {
+    return settings.classes().stream().anyMatch(c -> path.equals("/" + c.name()));
+  }
+
   int open() {
     return connections.size();
   }
@@ -91,7 +96,7 @@
 
   void closed(ClientHandler handler) {
     connections.remove(handler);
-    if (connections.size() <= most && listener.isOpen()) {
+    if (connections.size() <= most && listener != null && listener.isOpen()) {
       listener.config().setAutoRead(true);
     }
   }
--- a/src/main/java/pumicekeel/node/ConnectionPool.java
+++ b/src/main/java/pumicekeel/node/ConnectionPool.java
@@ -11,7 +11,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** Connections to upstreams, one request each at a time; the one that was used last is used first. */
@@ -25,6 +27,7 @@
   private final int most;
   private final long idleNanos;
   private final Map<InetSocketAddress, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
+  private final Future<?> sweep;
   private int open;
 
   ConnectionPool(EventLoop loop, long connectTimeoutNanos, long idleNanos, int most) {
@@ -40,7 +43,7 @@
           }
         });
     long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
-    loop.scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
+    sweep = loop.scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
   }
 
   /** The idle connection that was used last, or null. */
@@ -85,6 +88,12 @@
     }
   }
 
+  /** Ends the pool: closes what is idle and looks for no more. */
+  void close() {
+    sweep.cancel(false);
+    List.copyOf(idle.keySet()).forEach(this::closeIdle);
+  }
+
   private void closeOld() {
     long before = System.nanoTime() - idleNanos;
     for (ArrayDeque<UpstreamConnection> connections : idle.values()) {
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -29,6 +29,7 @@
   private final BalancerCore core;
   private final ClientSide clients;
   private final Discovery discovery;
+  private final CountDownLatch ready = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
 
   /** Makes a balancer; {@code crash} ends the process after a defect of the module. */
@@ -67,13 +68,24 @@
     return 0;
   }
 
+  /** Starts as {@code serve} does and ends once ready: what the class-data archive is made from. */
+  public static int rehearse(Map<String, String> environment) throws IOException, InterruptedException {
+    Node node = new Node(Configuration.read(environment), () -> Runtime.getRuntime().halt(1));
+    node.start();
+    node.ready.await();
+    return 0;
+  }
+
   /** Listens and follows the list; the address that clients connect to. */
   InetSocketAddress start() throws InterruptedException {
     InetSocketAddress address = clients.listen(configuration.listen());
     loop.execute(() -> {
       core.start(configuration.known(), discovery::watch);
-      clients.setReady();
-      Log.line(configuration.name() + " serves at " + address);
+      WarmUp.run(loop, address, configuration.settings(), () -> {
+        clients.setReady();
+        Log.line(configuration.name() + " serves at " + address);
+        ready.countDown();
+      });
     });
     return address;
   }
--- /dev/null
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -0,0 +1,100 @@
+package pumicekeel.node;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import pumicekeel.AdaptiveBalancer;
+import pumicekeel.Balancer.DedupScope;
+import pumicekeel.Balancer.Effect;
+import pumicekeel.Balancer.Listed;
+import pumicekeel.Balancer.RequestClass;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.Balancer.State;
+
+/**
+ * Guards the first clients from a cold JVM: before the balancer says that it is up, made-up requests run through all
+ * of its code, with a module and a pool of their own, to the balancer's own {@link #PATH}.
+ */
+final class WarmUp {
+
+  /** Answered by every balancer at once, ready or not. */
+  static final String PATH = "/live";
+  private static final int REQUESTS = 3_000;
+  private static final int AT_ONCE = 8;
+  private static final int UPSTREAMS = 3;
+  private static final int KEYS = 50;
+  private static final long LONGEST_NANOS = 2_000_000_000L;
+  private static final long SECOND = 1_000_000_000L;
+
+  private final EventLoop loop;
+  private final Clock clock = new Clock();
+  private final ConnectionPool pool;
+  private final BalancerCore core;
+  private final ClientSide side;
+  private final Runnable done;
+  private final long endAt = clock.now() + LONGEST_NANOS;
+  private final List<EmbeddedChannel> clients = new ArrayList<>();
+  private int sent;
+
+  /** Runs on the loop and calls {@code done} there, after so many requests or so long. */
+  static void run(EventLoop loop, InetSocketAddress self, Settings settings, Runnable done) {
+    new WarmUp(loop, self, settings, done).start(self);
+  }
+
+  private WarmUp(EventLoop loop, InetSocketAddress self, Settings real, Runnable done) {
+    this.loop = loop;
+    this.done = done;
+    RequestClass type = new RequestClass(PATH.substring(1), Effect.SAFE, DedupScope.ALL, SECOND, SECOND, 0,
+        2 * SECOND, 1, 0, false);
+    Settings settings = new Settings(0, 1, real.zone(), List.of(type), real.tenants(), real.limits(),
+        real.contract(), real.prices(), false, real.weightKind(), real.overShareWorth(), real.warmKeys(),
+        real.tickNanos());
+    pool = new ConnectionPool(loop, SECOND, SECOND, AT_ONCE);
+    core = new BalancerCore(settings, new AdaptiveBalancer(settings, 0), clock, loop, pool,
+        e -> Log.line("defect of the module while warming up: " + e));
+    side = new ClientSide(loop, settings, core, AT_ONCE);
+  }
+
+  private void start(InetSocketAddress self) {
+    List<HostList.Host> hosts = new ArrayList<>();
+    for (int i = 0; i < UPSTREAMS; i++) {
+      hosts.add(new HostList.Host(self, new Listed(i, "", 0, State.READY, 0, 1)));
+    }
+    core.start(new HostList(0, true, hosts), on -> {});
+    for (int i = 0; i < AT_ONCE; i++) {
+      clients.add(new EmbeddedChannel(new HttpServerCodec(), new ClientHandler(side)));
+    }
+    loop.execute(this::round);
+  }
+
+  private void round() {
+    if (sent >= REQUESTS || clock.now() > endAt) {
+      clients.forEach(EmbeddedChannel::close);
+      pool.close();
+      Log.line("warmed up with " + sent + " requests");
+      done.run();
+      return;
+    }
+    for (EmbeddedChannel client : clients) {
+      if (client.pipeline().get(ClientHandler.class).idle()) {
+        client.releaseOutbound();
+        client.writeInbound(Unpooled.copiedBuffer(request(sent++), StandardCharsets.US_ASCII));
+      }
+    }
+    loop.schedule(this::round, 1, TimeUnit.MICROSECONDS);
+  }
+
+  private String request(int number) {
+    var tenants = side.settings().tenants();
+    return "GET " + PATH + " HTTP/1.1\r\nHost: warm-up\r\n" + ClientRequest.ID + ": warm-up-" + number
+        + "\r\nX-Service-Class: " + PATH.substring(1) + "\r\nX-Session-Key: " + number % KEYS
+        + (tenants.isEmpty() ? "" : "\r\nX-Account: " + tenants.get(number % tenants.size()).name())
+        + "\r\n" + ClientRequest.TIME_LEFT + ": 1000\r\nX-Weight-Hint: 1000\r\n\r\n";
+  }
+}
