--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -25,7 +25,7 @@
 
   /** Answered by every balancer at once, ready or not. */
   static final String PATH = "/live";
-  private static final int REQUESTS = 3_000;
+  private static final int REQUESTS = 500;
   private static final int AT_ONCE = 8;
   private static final int UPSTREAMS = 3;
   private static final int KEYS = 50;
--- /dev/null
+++ b/src/test/java/pumicekeel/node/BadInputTest.java
@@ -0,0 +1,77 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Clients that break the protocol get a 4xx or a clean end, and nobody else notices. */
+class BadInputTest {
+
+  static Stream<Arguments> requests() {
+    String good = TestClient.look("1", 15_000, "");
+    return Stream.of(
+        Arguments.of(400, good.replace("X-Service-Class: look", "X-Service-Class: none")),
+        Arguments.of(400, good.replace("/look/a", "/order")),
+        Arguments.of(400, good.replace("acme", "nobody")),
+        Arguments.of(400, good.replace("X-Correlation-Id: 1\r\n", "")),
+        Arguments.of(400, good.replace("X-Time-Left-Ms: 15000\r\n", "")),
+        Arguments.of(400, good.replace("15000", "soon")),
+        Arguments.of(400, good.replace("15000", "-1")),
+        Arguments.of(400, good.replace("15000", "99999999999999999999")),
+        Arguments.of(405, good.replace("GET ", "DELETE ")),
+        Arguments.of(400, TestClient.order("1", 15_000).replace("Idempotency-Key: once-1\r\n", "")),
+        Arguments.of(413, TestClient.order("1", 15_000).replace("Length: 4", "Length: 70000") + "x".repeat(70_000)),
+        Arguments.of(400, "nonsense\r\n\r\n"),
+        Arguments.of(400, TestClient.look("1", 15_000, "X-Long: " + "x".repeat(20_000) + "\r\n")),
+        Arguments.of(400, TestClient.order("1", 15_000).replace("Length: 4", "Length: four")));
+  }
+
+  @ParameterizedTest
+  @MethodSource("requests")
+  void getsItsStatusAndTheNextClientIsServed(int status, String request) throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient client = new TestClient(node.address); TestClient next = new TestClient(node.address)) {
+        assertEquals(status, client.call(request).status());
+        assertEquals(200, next.call(TestClient.look("1", 15_000, "")).status());
+        assertEquals(1, upstream.requests.size(), "none of it went on");
+      }
+    }
+  }
+
+  @Test
+  void pipeliningGetsTheFirstAnswerAndAnEnd() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        client.send(TestClient.look("1", 15_000, "") + TestClient.look("2", 15_000, ""));
+        assertEquals("fine", client.read().body());
+        assertTrue(client.ended());
+        assertEquals(1, upstream.requests.size());
+      }
+    }
+  }
+
+  @Test
+  void idThatIsOpenIsAConflictAndTheFirstKeepsItsAnswer() throws Exception {
+    var held = new java.util.concurrent.CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      held.await();
+      FakeServer.write(out, FakeServer.ok("fine"));
+    })) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient first = new TestClient(node.address); TestClient second = new TestClient(node.address)) {
+        first.send(TestClient.look("1", 15_000, ""));
+        TestNode.until(() -> upstream.requests.size() == 1);
+        assertEquals(409, second.call(TestClient.look("1", 15_000, "")).status());
+        held.countDown();
+        assertEquals("fine", first.read().body());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/node/FakeServer.java
@@ -0,0 +1,115 @@
+package pumicekeel.node;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A small HTTP server on a loopback port: an upstream or a discovery that behaves as a test wants. */
+final class FakeServer implements Closeable {
+
+  /** Answers one request, whose text is given; may write nothing, or close the connection. */
+  interface Behaviour {
+    void answer(String request, Socket connection, OutputStream out) throws Exception;
+  }
+
+  final List<String> requests = new CopyOnWriteArrayList<>();
+  final List<Socket> connections = new CopyOnWriteArrayList<>();
+  final AtomicInteger closedByPeer = new AtomicInteger();
+  volatile Behaviour behaviour;
+  private final ServerSocket listener;
+
+  FakeServer(Behaviour behaviour) throws IOException {
+    this.behaviour = behaviour;
+    listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    daemon(() -> {
+      while (true) {
+        Socket connection = listener.accept();
+        connections.add(connection);
+        daemon(() -> serve(connection));
+      }
+    });
+  }
+
+  /** A server that answers every request with a 200 and this body. */
+  static FakeServer serving(String body) throws IOException {
+    return new FakeServer((request, connection, out) -> write(out, ok(body)));
+  }
+
+  static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+
+  private interface Work {
+    void run() throws Exception;
+  }
+
+  private static void daemon(Work work) {
+    Thread thread = new Thread(() -> {
+      try {
+        work.run();
+      } catch (Exception e) {
+        // The test closed this server, or the peer its connection.
+      }
+    });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void serve(Socket connection) throws Exception {
+    BufferedReader in = new BufferedReader(
+        new InputStreamReader(connection.getInputStream(), StandardCharsets.UTF_8));
+    try {
+      for (String line = in.readLine(); line != null; line = in.readLine()) {
+        StringBuilder request = new StringBuilder();
+        int length = 0;
+        for (; line != null && !line.isEmpty(); line = in.readLine()) {
+          request.append(line).append('\n');
+          length = line.toLowerCase().startsWith("content-length:") ? Integer.parseInt(line.substring(15).trim()) : length;
+        }
+        request.append('\n');
+        for (int i = 0; i < length; i++) {
+          request.append((char) in.read());
+        }
+        requests.add(request.toString());
+        behaviour.answer(request.toString(), connection, connection.getOutputStream());
+      }
+    } finally {
+      closedByPeer.incrementAndGet();
+    }
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) listener.getLocalSocketAddress();
+  }
+
+  /** Ends connections so that the peer sees a reset. */
+  void reset() throws IOException {
+    for (Socket connection : connections) {
+      connection.setSoLinger(true, 0);
+      connection.close();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket connection : connections) {
+      connection.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -0,0 +1,74 @@
+package pumicekeel.node;
+
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** One client connection that writes any bytes and reads HTTP answers. */
+final class TestClient implements Closeable {
+
+  private static final int GENEROUS_MILLIS = 30_000;
+
+  private final Socket socket = new Socket();
+  private final DataInputStream in;
+
+  /** An answer: its status, its head in lower case, and its body. */
+  record Reply(int status, String head, String body) {}
+
+  TestClient(InetSocketAddress address) throws IOException {
+    socket.connect(address, GENEROUS_MILLIS);
+    socket.setSoTimeout(GENEROUS_MILLIS);
+    in = new DataInputStream(socket.getInputStream());
+  }
+
+  TestClient send(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    return this;
+  }
+
+  Reply read() throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+      head.append((char) in.readUnsignedByte());
+    }
+    String lower = head.toString().toLowerCase();
+    int at = lower.indexOf("content-length:") + 15;
+    byte[] body = new byte[Integer.parseInt(lower.substring(at, lower.indexOf('\r', at)).trim())];
+    in.readFully(body);
+    return new Reply(Integer.parseInt(lower.substring(9, 12)), lower, new String(body, StandardCharsets.UTF_8));
+  }
+
+  Reply call(String text) throws IOException {
+    return send(text).read();
+  }
+
+  /** Whether the node ends this connection. */
+  boolean ended() {
+    try {
+      return in.read() < 0;
+    } catch (IOException e) {
+      return !(e instanceof java.net.SocketTimeoutException);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+
+  /** A request of class "look" (safe) with these further header lines, each ended by CRLF. */
+  static String look(String id, long leftMillis, String more) {
+    return "GET /look/a?b=c HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: look\r\n"
+        + "X-Account: acme\r\nX-Session-Key: k\r\nX-Time-Left-Ms: " + leftMillis + "\r\n" + more + "\r\n";
+  }
+
+  /** A request of class "order" (keyed, dropped within a cell) with a body. */
+  static String order(String id, long leftMillis) {
+    return "POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: order\r\n"
+        + "X-Account: acme\r\nX-Session-Key: k\r\nX-Time-Left-Ms: " + leftMillis
+        + "\r\nIdempotency-Key: once-" + id + "\r\nContent-Length: 4\r\n\r\nbody";
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/node/TestNode.java
@@ -0,0 +1,79 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import pumicekeel.adapter.Decoder;
+import pumicekeel.adapter.Fields;
+
+/** A node in this process, with settings fit for tests. */
+final class TestNode {
+
+  private static final long GENEROUS_NANOS = 30_000_000_000L;
+
+  final InetSocketAddress address;
+  final Node node;
+
+  TestNode(InetSocketAddress discovery, int maxAttempts, FakeServer... upstreams) throws Exception {
+    Fields f = Fields.parse("configuration", json(discovery, maxAttempts, upstreams));
+    node = new Node(new Configuration("n0", Configuration.address("listen", f.text("listen")), discovery, 1,
+        (int) f.nested("limits").integer("sockets"), HostList.of(f.nested("known")),
+        Decoder.settings(f.nested("settings"))), () -> {});
+    address = node.start();
+    until(() -> up() == 200);
+  }
+
+  private int up() {
+    try (TestClient client = new TestClient(address)) {
+      return client.call("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status();
+    } catch (java.io.IOException e) {
+      return 0;
+    }
+  }
+
+  /** The configuration of a balancer whose list names these upstreams s-0, s-1 and so on. */
+  static String json(InetSocketAddress discovery, int maxAttempts, FakeServer... upstreams) {
+    StringBuilder known = new StringBuilder();
+    for (int i = 0; i < upstreams.length; i++) {
+      known.append(i == 0 ? "" : ",").append(endpoint("s-" + i, upstreams[i].address(), "in_service"));
+    }
+    return """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+         "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+         "known":{"index":7,"snapshot":true,"endpoints":[%s]},
+         "settings":{"categories":[
+            {"name":"look","effect":"idempotent","aim-ns":2000000000,"deadline-ns":20000000000},
+            {"name":"order","effect":"deduplicated","dedup-scope":"cell","window-ns":10000000000,
+             "aim-ns":2000000000,"deadline-ns":20000000000}],
+          "projects":[{"name":"acme","portion":1.0,"quota-per-s":1000.0}],"registry-mode":"on_request",
+          "limits":{"cancel":true,"retry-after":true,"max-retry-after-ns":2000000000,"max-attempts":%d,
+           "connect-timeout-ns":5000000000,"conn-idle-ns":60000000000},
+          "contract":{"drain-grace-ns":2000000000,"answer-slack-ns":8000000,"cold-from":0.3,
+           "overload-for-ns":3000000000,"fall-multiple":3.0}}}
+        """.formatted(text(discovery), known, maxAttempts);
+  }
+
+  static String endpoint(String name, InetSocketAddress address, String status) {
+    return "{\"name\":\"" + name + "\",\"address\":\"" + text(address) + "\",\"zone\":\"a\",\"type\":\"t\",\"group\":1,"
+        + "\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":0}";
+  }
+
+  static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  /** An address on which nothing listens. */
+  static InetSocketAddress nowhere() {
+    return new InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), 1);
+  }
+
+  /** Waits for a condition, with a limit that only a hang reaches. */
+  static void until(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + GENEROUS_NANOS;
+    while (!condition.getAsBoolean() && System.nanoTime() < end) {
+      Thread.sleep(5);
+    }
+    assertTrue(condition.getAsBoolean(), "a condition that was waited for");
+  }
+}
