Test the table, the pool, discovery and the process; mend what that found

Seen by ConnectionPoolTest: a connection whose send was over before its first byte was lost to the pool. Cause: UpstreamConnection took its address in channelActive, which runs after a connect's listeners, so the pool filed it under no address; it is asked of the channel now.

--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -72,21 +72,17 @@
     news(ListKind.CACHED, known);
   }
 
-  int open() {
-    return table.size();
-  }
-
   // ---- Clients ------------------------------------------------------------------------------------------
 
   /** Takes a request; false where its id is open already, which must not replace the first one. */
   boolean take(ClientRequest request, Client client) {
-    OpenRequest r = new OpenRequest(request, client);
+    long left = Math.max(0, request.leftNanos() - ANSWER_MARGIN_NANOS);
+    OpenRequest r = new OpenRequest(request, client, clock.now() + left);
     if (table.putIfAbsent(request.id(), r) != null) {
       return false;
     }
-    long left = Math.max(0, request.leftNanos() - ANSWER_MARGIN_NANOS);
     r.guard = loop.schedule(() -> answerForModule(r), left + GUARD_NANOS, TimeUnit.NANOSECONDS);
-    tell(new Request(request.id(), request.type().name(), request.tenant(), request.key(), clock.now() + left,
+    tell(new Request(request.id(), request.type().name(), request.tenant(), request.key(), r.deadline,
         request.hintNanos(), request.retry()));
     return true;
   }
@@ -225,7 +221,9 @@
     // Checked where the attempt's first byte goes out, which may be a connect later than the decision.
     boolean counts = r.attempts.size() < settings.limits().maxAttempts();
     r.attempts.add(attempt);
-    attempt.start(r.request, a.timeoutNanos(), () -> counts && maySend(r, a.upstream()), clock, loop);
+    long left = r.deadline - clock.now();
+    attempt.start(r.request, a.timeoutNanos() == 0 ? left : Math.min(a.timeoutNanos(), left),
+        () -> counts && maySend(r, a.upstream()), clock, loop);
   }
 
   private boolean maySend(OpenRequest r, long upstream) {
--- a/src/main/java/pumicekeel/node/ClientHandler.java
+++ b/src/main/java/pumicekeel/node/ClientHandler.java
@@ -45,11 +45,17 @@
 
   /** Nothing of a request has come that has no answer yet. */
   boolean idle() {
-    return waiting == null && head == null;
+    return untaken() && head == null;
   }
 
+  /** No whole request has come that has no answer yet, and no last answer is on its way out. */
+  boolean untaken() {
+    return waiting == null && !discarding;
+  }
+
+  /** Closes once all that was written has gone out: an answer must not be cut short. */
   void close() {
-    ctx.close();
+    ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
 
   @Override
--- a/src/main/java/pumicekeel/node/ClientSide.java
+++ b/src/main/java/pumicekeel/node/ClientSide.java
@@ -110,7 +110,7 @@
   /** Begins a planned stop: clients are sent elsewhere with the answers they still get. */
   void drain() {
     draining = true;
-    closeIdle();
+    List.copyOf(connections).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
   }
 
   /** Accepts no more. */
@@ -118,8 +118,8 @@
     listener.close();
   }
 
-  /** Takes no more: connections with nothing open go, the others end with their answers. */
-  void closeIdle() {
-    List.copyOf(connections).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
+  /** Takes no more, also of what has come in part: a slow sender must not keep the process from its end. */
+  void closeUntaken() {
+    List.copyOf(connections).stream().filter(ClientHandler::untaken).forEach(ClientHandler::close);
   }
 }
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -101,7 +101,7 @@
   }
 
   private void takeNoMore() {
-    clients.closeIdle();
+    clients.closeUntaken();
     if (clients.open() == 0) {
       Log.line(configuration.name() + " has drained");
       drained.countDown();
--- a/src/main/java/pumicekeel/node/OpenRequest.java
+++ b/src/main/java/pumicekeel/node/OpenRequest.java
@@ -11,13 +11,16 @@
 
   final ClientRequest request;
   final Client client;
+  /** When the module has to have answered, by the balancer's clock. */
+  final long deadline;
   final List<UpstreamAttempt> attempts = new ArrayList<>(1);
   ScheduledFuture<?> guard;
   boolean ended;
 
-  OpenRequest(ClientRequest request, Client client) {
+  OpenRequest(ClientRequest request, Client client, long deadline) {
     this.request = request;
     this.client = client;
+    this.deadline = deadline;
   }
 
   boolean over() {
--- a/src/main/java/pumicekeel/node/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/node/UpstreamConnection.java
@@ -37,15 +37,14 @@
     this.channel = channel;
   }
 
+  /** Asked of the channel when first needed: a connect's listeners run before channelActive. */
   InetSocketAddress address() {
+    if (address == null) {
+      address = (InetSocketAddress) channel.remoteAddress();
+    }
     return address;
   }
 
-  @Override
-  public void channelActive(ChannelHandlerContext ctx) {
-    address = (InetSocketAddress) channel.remoteAddress();
-  }
-
   /** False from the moment that the peer's close was seen, before the pool hears of it. */
   boolean usable() {
     return channel.isActive();
@@ -118,7 +117,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
-      Log.line("upstream " + address + ": " + cause);
+      Log.line("upstream " + address() + ": " + cause);
     }
     broken();
   }
@@ -128,9 +127,7 @@
     UpstreamAttempt ended = attempt;
     attempt = null;
     channel.close();
-    if (address != null) {
-      pool.remove(this);
-    }
+    pool.remove(this);
     if (ended != null) {
       ended.end(written.isSuccess() ? Status.RESET : Status.CONNECT_FAILED, null);
     }
--- /dev/null
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -0,0 +1,218 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pumicekeel.Balancer;
+import pumicekeel.Balancer.Action;
+import pumicekeel.Balancer.Event;
+import pumicekeel.Balancer.FetchList;
+import pumicekeel.Balancer.ListNews;
+import pumicekeel.Balancer.Outcome;
+import pumicekeel.Balancer.Request;
+import pumicekeel.Balancer.Send;
+import pumicekeel.Balancer.State;
+import pumicekeel.Balancer.Status;
+import pumicekeel.adapter.Decoder;
+import pumicekeel.adapter.Fields;
+
+/** The request table under modules that do what the real one never should. */
+class BalancerCoreTest {
+
+  private static final long UPSTREAM = HostList.idOf("s-0");
+
+  private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  private final BlockingQueue<RuntimeException> defects = new LinkedBlockingQueue<>();
+  private volatile boolean nested;
+  private volatile boolean handling;
+  private BalancerCore core;
+  private Balancer.Settings settings;
+
+  /** What a test's module does on a request or an outcome. */
+  interface Module {
+    void handle(Event event, Consumer<Action> out);
+  }
+
+  private final Client client = new Client() {
+    @Override
+    public void served(Answer answer) {
+      answers.add("served");
+    }
+
+    @Override
+    public void refused(long retryAfterNanos) {
+      answers.add("refused");
+    }
+
+    @Override
+    public void failed() {
+      answers.add("failed");
+    }
+  };
+
+  private void start(Module module, FakeServer... upstreams) throws Exception {
+    Fields f = Fields.parse("configuration", TestNode.json(TestNode.nowhere(), 3, upstreams));
+    settings = Decoder.settings(f.nested("settings"));
+    ConnectionPool pool = new ConnectionPool(loop, 5_000_000_000L, 60_000_000_000L, 100);
+    core = new BalancerCore(settings, (now, event, out) -> {
+      nested |= handling;
+      handling = true;
+      events.add(event);
+      module.handle(event, out);
+      handling = false;
+    }, new Clock(), loop, pool, defect -> {
+      core.answerAll();
+      defects.add(defect);
+    });
+    HostList known = HostList.of(f.nested("known"));
+    loop.submit(() -> core.start(known, on -> {})).get();
+  }
+
+  private void take(String id, String type, long leftMillis) throws Exception {
+    var type1 = settings.classes().stream().filter(c -> c.name().equals(type)).findFirst().orElseThrow();
+    ClientRequest request = new ClientRequest(id, type1, "acme", "k", leftMillis * 1_000_000, 0, false,
+        io.netty.handler.codec.http.HttpMethod.GET, "/" + type, "h", null, null, new byte[0]);
+    assertTrue(loop.submit(() -> core.take(request, client)).get());
+  }
+
+  private String answer() throws InterruptedException {
+    return answers.poll(30, TimeUnit.SECONDS);
+  }
+
+  private Outcome outcome() throws InterruptedException {
+    for (Event e = events.poll(30, TimeUnit.SECONDS); e != null; e = events.poll(30, TimeUnit.SECONDS)) {
+      if (e instanceof Outcome o) {
+        return o;
+      }
+    }
+    throw new AssertionError("no outcome came");
+  }
+
+  private static void sendOnRequest(Event event, Consumer<Action> out) {
+    if (event instanceof Request r) {
+      out.accept(new Send(r.id(), UPSTREAM, 15_000_000_000L));
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void moduleThatGivesNoAnswerIsAnsweredFor() throws Exception {
+    start((event, out) -> {});
+    take("1", "order", 200);
+    assertEquals("refused", answer(), "nothing ran");
+    take("1", "order", 200);
+  }
+
+  @Test
+  void answerForTheModulePromisesNothingOnceTheRequestMayHaveRun() throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {})) {
+      start(BalancerCoreTest::sendOnRequest, upstream);
+      take("1", "order", 1_000);
+      assertEquals("failed", answer());
+    }
+  }
+
+  @Test
+  void lateOutcomeStillGoesToTheModuleAndTheClientHearsNothingMore() throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      TestNode.until(() -> !answers.isEmpty());
+      FakeServer.write(out, FakeServer.ok("late"));
+    })) {
+      start((event, out) -> {
+        sendOnRequest(event, out);
+        if (event instanceof Request r) {
+          out.accept(new Balancer.SetTimer(r.id(), System.currentTimeMillis() * 1_000_000 + 200_000_000));
+        } else if (event instanceof Balancer.TimerFired t) {
+          out.accept(new Balancer.Refuse(t.token(), 0));
+        }
+      }, upstream);
+      take("1", "look", 15_000);
+      Outcome late = outcome();
+      assertEquals(Status.SERVED, late.status());
+      assertTrue(late.finished());
+      assertEquals("refused", answer());
+      assertTrue(answers.isEmpty());
+      take("1", "look", 15_000);
+    }
+  }
+
+  @Test
+  void exceptionOfTheModuleAnswersAllThatIsOpen() throws Exception {
+    start((event, out) -> {
+      if (event instanceof Request r && r.id().equals("2")) {
+        throw new IllegalStateException("defect");
+      }
+    });
+    take("1", "look", 15_000);
+    take("2", "look", 15_000);
+    assertEquals("refused", answer());
+    assertEquals("refused", answer());
+    assertEquals("defect", defects.poll(30, TimeUnit.SECONDS).getMessage());
+  }
+
+  @Test
+  void actionThatTheModuleNeverEmitsIsNamed() throws Exception {
+    start((event, out) -> {
+      if (event instanceof Request) {
+        out.accept(new FetchList());
+      }
+    });
+    take("1", "look", 15_000);
+    assertTrue(defects.poll(30, TimeUnit.SECONDS).getMessage().contains("FetchList"));
+  }
+
+  @Test
+  void drainedUpstreamGetsNothingAfterTheGraceAndTheOutcomeIsNotNested() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      start(BalancerCoreTest::sendOnRequest, upstream);
+      Balancer.Listed leaving = new Balancer.Listed(UPSTREAM, "a", 1, State.DRAINING, 0, 1);
+      take("1", "look", 15_000);
+      assertEquals(Status.SERVED, outcome().status(), "an idle connection makes the next send end at once");
+      loop.submit(() -> core.news(new HostList(8, false,
+          List.of(new HostList.Host(upstream.address(), leaving))))).get();
+      TimeUnit.NANOSECONDS.sleep(settings.contract().drainGraceNanos());
+      take("2", "look", 15_000);
+      assertEquals(Status.NOT_SENT, outcome().status());
+      assertEquals(1, upstream.requests.size());
+      assertFalse(nested);
+      assertTrue(events.stream().noneMatch(e -> e instanceof ListNews));
+    }
+  }
+
+  @Test
+  void repeatAfterTheKeyedWindowIsNotSent() throws Exception {
+    Consumer<Consumer<Action>> again = out -> out.accept(new Send("1", UPSTREAM, 15_000_000_000L));
+    try (FakeServer upstream = new FakeServer((request, connection, out) ->
+        FakeServer.write(out, "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"))) {
+      start((event, out) -> {
+        if (event instanceof Request || event instanceof Balancer.TimerFired) {
+          again.accept(out);
+        } else if (event instanceof Outcome o && o.status() == Status.ERROR) {
+          out.accept(new Balancer.SetTimer("again", System.currentTimeMillis() * 1_000_000
+              + settings.classes().get(1).dedupWindowNanos() + 50_000_000));
+        }
+      }, upstream);
+      take("1", "order", 15_000);
+      assertEquals(Status.ERROR, outcome().status());
+      assertEquals(Status.NOT_SENT, outcome().status());
+      assertEquals(1, upstream.requests.size());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -0,0 +1,148 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The watch, against a discovery that splits, falls silent, fails and changes its mind. */
+class DiscoveryTest {
+
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final BlockingQueue<Object> heard = new LinkedBlockingQueue<>();
+
+  private static void chunk(OutputStream out, String text) throws Exception {
+    FakeServer.write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  private static String list(long index, boolean whole, String... endpoints) {
+    return "{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":[" + String.join(",", endpoints) + "]}\n";
+  }
+
+  private Discovery discovery(InetSocketAddress address, long silenceMillis) {
+    Discovery discovery = new Discovery(loop, address, 7, silenceMillis, heard::add,
+        () -> heard.add("failed"));
+    loop.execute(() -> discovery.watch(true));
+    return discovery;
+  }
+
+  private Object next() throws InterruptedException {
+    return heard.poll(30, TimeUnit.SECONDS);
+  }
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void linesMayBeSplitAnywhereAndTheNextWatchAsksForWhatCameAfter() throws Exception {
+    try (FakeServer server = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, HEAD);
+      for (char c : ("\n" + list(8, true) + "\n\n" + list(9, false)).toCharArray()) {
+        chunk(out, String.valueOf(c));
+      }
+      FakeServer.write(out, "0\r\n\r\n");
+    })) {
+      Discovery discovery = discovery(server.address(), 60_000);
+      assertEquals(8, ((HostList) next()).index());
+      assertEquals(9, ((HostList) next()).index());
+      assertEquals("failed", next(), "a watch that ended");
+      loop.execute(() -> discovery.watch(true));
+      next();
+      assertTrue(server.requests.get(0).startsWith("GET /discovery/hosts?watch=1&after=7 "), server.requests.get(0));
+      assertTrue(server.requests.get(1).startsWith("GET /discovery/hosts?watch=1&after=9 "), server.requests.get(1));
+    }
+  }
+
+  @Test
+  void silentWatchFailsOnceAndIsClosed() throws Exception {
+    try (FakeServer server = new FakeServer((request, connection, out) -> FakeServer.write(out, HEAD))) {
+      discovery(server.address(), 200);
+      assertEquals("failed", next());
+      TestNode.until(() -> server.closedByPeer.get() == 1);
+      assertTrue(heard.isEmpty());
+    }
+  }
+
+  @Test
+  void refusalAndMalformedListAreFailures() throws Exception {
+    try (FakeServer server = new FakeServer((request, connection, out) ->
+        FakeServer.write(out, "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n"))) {
+      Discovery discovery = discovery(server.address(), 60_000);
+      assertEquals("failed", next());
+      server.behaviour = (request, connection, out) -> {
+        FakeServer.write(out, HEAD);
+        chunk(out, "{\"index\":\n");
+      };
+      loop.execute(() -> discovery.watch(true));
+      assertEquals("failed", next());
+      assertTrue(heard.isEmpty());
+    }
+  }
+
+  @Test
+  void nobodyThereIsAFailure() throws Exception {
+    discovery(TestNode.nowhere(), 60_000);
+    assertEquals("failed", next());
+  }
+
+  @Test
+  void nodeFollowsAnAddressThatMovedAndAsksAgainAfterAFailure() throws Exception {
+    try (FakeServer before = FakeServer.serving("before"); FakeServer after = FakeServer.serving("after");
+        FakeServer server = new FakeServer((request, connection, out) ->
+            FakeServer.write(out, "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n"))) {
+      TestNode node = new TestNode(server.address(), 1, before);
+      try (TestClient client = new TestClient(node.address)) {
+        assertEquals("before", client.call(TestClient.look("1", 15_000, "")).body());
+        server.behaviour = (request, connection, out) -> {
+          FakeServer.write(out, HEAD);
+          chunk(out, list(8, false, TestNode.endpoint("s-0", after.address(), "in_service")));
+        };
+        TestNode.until(() -> before.closedByPeer.get() == 1);
+        assertEquals("after", client.call(TestClient.look("2", 15_000, "")).body());
+      }
+    }
+  }
+
+  @Test
+  void upstreamAbsentFromAWholeListGetsNothingMore() throws Exception {
+    try (FakeServer kept = FakeServer.serving("kept"); FakeServer gone = FakeServer.serving("gone");
+        FakeServer server = new FakeServer((request, connection, out) -> {
+          FakeServer.write(out, HEAD);
+          chunk(out, list(8, true, TestNode.endpoint("s-0", kept.address(), "in_service")));
+        })) {
+      TestNode node = new TestNode(server.address(), 1, kept, gone);
+      TestNode.until(() -> server.requests.size() == 1);
+      try (TestClient client = new TestClient(node.address)) {
+        int[] calls = {0};
+        TestNode.until(() -> allKept(client, calls));
+      }
+    }
+  }
+
+  /** The list may take a moment; from then on no key leads to the upstream that is gone. */
+  private static boolean allKept(TestClient client, int[] calls) {
+    try {
+      boolean all = true;
+      for (int i = 0; i < 20; i++) {
+        String request = TestClient.look("l" + calls[0]++, 15_000, "").replace("Key: k", "Key: k" + i);
+        all &= client.call(request).body().equals("kept");
+      }
+      return all;
+    } catch (java.io.IOException e) {
+      return false;
+    }
+  }
+}
--- a/src/test/java/pumicekeel/node/FakeServer.java
+++ b/src/test/java/pumicekeel/node/FakeServer.java
@@ -97,14 +97,6 @@
     return (InetSocketAddress) listener.getLocalSocketAddress();
   }
 
-  /** Ends connections so that the peer sees a reset. */
-  void reset() throws IOException {
-    for (Socket connection : connections) {
-      connection.setSoLinger(true, 0);
-      connection.close();
-    }
-  }
-
   @Override
   public void close() throws IOException {
     listener.close();
--- a/src/test/java/pumicekeel/node/OutcomeTest.java
+++ b/src/test/java/pumicekeel/node/OutcomeTest.java
@@ -44,6 +44,10 @@
         row("bare 503", FAILED, says("HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n")),
         row("mark on an error", FAILED, says("HTTP/1.1 500 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")),
         row("ended with no answer", FAILED, saysAndEnds("")),
+        row("reset", FAILED, (request, connection, out) -> {
+          connection.setSoLinger(true, 0);
+          connection.close();
+        }),
         row("cut short", FAILED, saysAndEnds("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine")),
         row("cut short in chunks", FAILED, saysAndEnds("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n")),
         row("no length", FAILED, saysAndEnds("HTTP/1.1 200 OK\r\n\r\nfine")),
--- /dev/null
+++ b/src/test/java/pumicekeel/node/ProcessTest.java
@@ -0,0 +1,106 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process: its start, its end, its exit status. */
+class ProcessTest {
+
+  @TempDir
+  private Path folder;
+  private Process process;
+  private BufferedReader log;
+
+  private void start(String configuration) throws Exception {
+    Path file = folder.resolve("config.json");
+    if (configuration != null) {
+      Files.writeString(file, configuration);
+    }
+    ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve");
+    builder.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
+    builder.environment().put("PROXY_CONFIG", file.toString());
+    process = builder.redirectErrorStream(true).start();
+    log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+  }
+
+  private InetSocketAddress address() throws Exception {
+    for (String line = log.readLine(); line != null; line = log.readLine()) {
+      if (line.contains(" serves at /")) {
+        return Configuration.address("log", line.substring(line.indexOf('/') + 1));
+      }
+    }
+    throw new AssertionError("the program did not start");
+  }
+
+  private int status() throws Exception {
+    assertTrue(process.waitFor(60, TimeUnit.SECONDS), "the program ended");
+    return process.exitValue();
+  }
+
+  @AfterEach
+  void stop() {
+    process.destroyForcibly();
+  }
+
+  @Test
+  void sigtermAnswersWhatWasTakenAndEndsWithStatusZero() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      held.await();
+      FakeServer.write(out, FakeServer.ok("fine"));
+    })) {
+      start(TestNode.json(TestNode.nowhere(), 1, upstream));
+      InetSocketAddress address = address();
+      try (TestClient open = new TestClient(address); TestClient idle = new TestClient(address);
+          TestClient slow = new TestClient(address)) {
+        slow.send(TestClient.order("2", 15_000).replace("Length: 4", "Length: 400"));
+        idle.call("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+        open.send(TestClient.order("1", 15_000));
+        TestNode.until(() -> upstream.requests.size() == 1);
+        process.destroy();
+        assertTrue(idle.ended(), "an idle connection");
+        try (TestClient late = new TestClient(address)) {
+          assertEquals(503, late.call("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+        } catch (IOException e) {
+          // A busy machine came here only after the half second in which clients are still accepted.
+          assertTrue(process.isAlive(), "the request that was taken is still open");
+        }
+        assertTrue(slow.ended(), "a request that has come in part is not waited for");
+        held.countDown();
+        TestClient.Reply reply = open.read();
+        assertEquals("fine", reply.body());
+        assertTrue(reply.head().contains("connection: close"), reply.head());
+        assertTrue(open.ended());
+      }
+      assertEquals(0, status());
+    }
+  }
+
+  @Test
+  void badConfigurationIsOnePlainLineAndStatusTwo() throws Exception {
+    String good = TestNode.json(TestNode.nowhere(), 1);
+    for (String bad : new String[] {null, "", "{", "{}", good.replace("8c1f30d27a5be964", "seed"),
+        good.replace("127.0.0.1:0", "localhost:0"), good.replace("127.0.0.1:0", "127.0.0.1:99999"),
+        good.replace("\"aim-ns\":2000000000", "\"aim-ns\":0")}) {
+      start(bad);
+      assertEquals(2, status(), bad);
+      String[] lines = log.lines().toArray(String[]::new);
+      assertEquals(1, lines.length, String.join("\n", lines));
+      assertTrue(lines[0].startsWith("configuration: ") && !lines[0].contains("Exception in"), lines[0]);
+    }
+  }
+}
--- a/src/test/java/pumicekeel/node/TestNode.java
+++ b/src/test/java/pumicekeel/node/TestNode.java
@@ -44,7 +44,7 @@
          "known":{"index":7,"snapshot":true,"endpoints":[%s]},
          "settings":{"categories":[
             {"name":"look","effect":"idempotent","aim-ns":2000000000,"deadline-ns":20000000000},
-            {"name":"order","effect":"deduplicated","dedup-scope":"cell","window-ns":10000000000,
+            {"name":"order","effect":"deduplicated","dedup-scope":"cell","window-ns":2000000000,
              "aim-ns":2000000000,"deadline-ns":20000000000}],
           "projects":[{"name":"acme","portion":1.0,"quota-per-s":1000.0}],"registry-mode":"on_request",
           "limits":{"cancel":true,"retry-after":true,"max-retry-after-ns":2000000000,"max-attempts":%d,
