--- a/src/test/java/pumicekeel/node/OutcomeTest.java
+++ b/src/test/java/pumicekeel/node/OutcomeTest.java
@@ -88,6 +88,7 @@
         assertEquals(200, client.call(TestClient.order("1", 15_000)).status());
         upstream.behaviour = (request, connection, out) -> {};
         assertEquals(FAILED, client.call(TestClient.order("2", 1_000)).status());
+        TestNode.until(() -> upstream.closedByPeer.get() == 1);
         upstream.behaviour = says(FakeServer.ok("fine"));
         assertEquals(200, client.call(TestClient.order("3", 15_000)).status());
         assertEquals(2, upstream.connections.size());
