SIGHUP follows the new discovery; an answer is only what was made for its request

Checked and ruled out: a length shorter than its body does not occur; Netty 4.2.18 itself refuses a length beside chunks and two lengths in HTTP/1.1 (the suspicion that it drops one holds for 1.0 alone).

At fault: Node.serve (no handler), UpstreamConnection.answered (gave the connection back before its read was over; half a line stayed in the codec), its broken() (an unfinished write "proved" that nothing ran, with answer bytes there), HttpClientCodec's leniency, BalancerCore.upstreams (never forgot, copied whole at each change), ConnectionPool (by address: a successor got its predecessor's connections).

Now: Reload re-reads the file on its own thread and Discovery moves at once, asking for the whole list. AnswerDecoder reads heads as strictly as a request's and drops raw bytes that nobody asked for; AnswerHead refuses what does not tell its end in exactly one way; an answer that stalls is left after 300 ms; a connection is reused after a read that left nothing, and only if its socket has nothing unread. UpstreamTable forgets, UpstreamPool belongs to the upstream. A time-out closes the idle connections only of an upstream from which nothing came for as long.

--- a/src/main/java/pumicekeel/node/Answer.java
+++ b/src/main/java/pumicekeel/node/Answer.java
@@ -1,4 +1,8 @@
 package pumicekeel.node;
 
 /** The body of an upstream's answer, and its type or null. */
-record Answer(byte[] body, String contentType) {}
+record Answer(byte[] body, String contentType) {
+
+  /** The protocol's limit; a body beyond it is malformed. */
+  static final int MAX_BODY = 64 << 10;
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/node/AnswerDecoder.java
@@ -0,0 +1,67 @@
+package pumicekeel.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.List;
+
+/**
+ * Reads answers as strictly as requests are read, and watches the raw bytes: what comes where no answer is due is never
+ * decoded. Guards against what Netty repairs quietly in answers: a line "no colon here" would be a header named "no".
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+
+  /** Told of raw bytes before they are decoded. */
+  interface Reader {
+    /** Whether these bytes may be part of an answer; otherwise they are dropped. */
+    boolean accepts(ByteBuf bytes);
+  }
+
+  private Reader reader;
+  /** From an answer's first line to its end; the line itself may end in a blank where it gives no reason. */
+  private boolean behindFirstLine;
+
+  AnswerDecoder() {
+    super(new HttpDecoderConfig().setStrictLineParsing(true));
+  }
+
+  void reader(Reader next) {
+    reader = next;
+  }
+
+  /** Whether bytes are left over that belong to no message yet. */
+  boolean leftOver() {
+    return actualReadableBytes() > 0;
+  }
+
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    behindFirstLine = true;
+    return super.createMessage(initialLine);
+  }
+
+  /** Decides how strictly headers are read; an answer without a length is no answer here, so its body is no matter. */
+  @Override
+  protected boolean isDecodingRequest() {
+    return behindFirstLine;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+    super.decode(ctx, buffer, out);
+    behindFirstLine &= out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    if (message instanceof ByteBuf bytes && !reader.accepts(bytes)) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    super.channelRead(ctx, message);
+  }
+}
--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -1,7 +1,6 @@
 package pumicekeel.node;
 
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,14 +17,12 @@
 import pumicekeel.Balancer.Fail;
 import pumicekeel.Balancer.ListKind;
 import pumicekeel.Balancer.ListNews;
-import pumicekeel.Balancer.Listed;
 import pumicekeel.Balancer.Outcome;
 import pumicekeel.Balancer.Refuse;
 import pumicekeel.Balancer.Request;
 import pumicekeel.Balancer.Send;
 import pumicekeel.Balancer.SetTimer;
 import pumicekeel.Balancer.Settings;
-import pumicekeel.Balancer.State;
 import pumicekeel.Balancer.Status;
 import pumicekeel.Balancer.TimerFired;
 import pumicekeel.Balancer.Watch;
@@ -44,25 +41,21 @@
   private final Balancer module;
   private final Clock clock;
   private final EventLoop loop;
-  private final ConnectionPool pool;
   private final Consumer<RuntimeException> defect;
   private final Map<String, OpenRequest> table = new HashMap<>();
-  private final Map<Long, Known> upstreams = new HashMap<>();
+  private final UpstreamTable upstreams;
   private final Queue<Event> events = new ArrayDeque<>();
   private final List<OpenRequest> over = new ArrayList<>();
   private Consumer<Boolean> watch = on -> {};
   private boolean handling;
 
-  /** An upstream as the list last named it; {@code leavingSince} is 0 while it is ready. */
-  private record Known(InetSocketAddress address, long leavingSince) {}
-
   BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, ConnectionPool pool,
       Consumer<RuntimeException> defect) {
     this.settings = settings;
     this.module = module;
     this.clock = clock;
     this.loop = loop;
-    this.pool = pool;
+    upstreams = new UpstreamTable(pool);
     this.defect = defect;
   }
 
@@ -138,20 +131,7 @@
   }
 
   private void news(ListKind kind, HostList list) {
-    long now = clock.now();
-    Map<Long, Known> before = Map.copyOf(upstreams);
-    if (kind != ListKind.DELTA) {
-      upstreams.replaceAll((id, k) -> k.leavingSince > 0 ? k : new Known(k.address, now));
-    }
-    for (HostList.Host host : list.hosts()) {
-      Listed listed = host.listed();
-      Known old = before.get(listed.upstream());
-      if (old != null && !old.address.equals(host.address())) {
-        pool.closeIdle(old.address);
-      }
-      long since = old != null && old.leavingSince > 0 ? old.leavingSince : now;
-      upstreams.put(listed.upstream(), new Known(host.address(), listed.state() == State.READY ? 0 : since));
-    }
+    upstreams.news(kind != ListKind.DELTA, list.hosts(), clock.now());
     tell(new ListNews(kind, list.hosts().stream().map(HostList.Host::listed).toList()));
   }
 
@@ -212,24 +192,27 @@
 
   private void send(Send a) {
     OpenRequest r = table.get(a.id());
-    Known known = upstreams.get(a.upstream());
-    if (r == null || known == null) {
+    UpstreamTable.Entry upstream = upstreams.get(a.upstream());
+    if (r == null || upstream == null) {
       throw new IllegalStateException("the module sent an unknown request or to an unknown upstream");
     }
-    UpstreamAttempt attempt = new UpstreamAttempt(r.attempts.size(), a.upstream(), clock.now(), known.address, pool,
-        (ended, status, answer) -> ended(r, ended, status, answer));
+    UpstreamAttempt attempt = new UpstreamAttempt(r.attempts.size(), a.upstream(), clock.now(), upstream.pool(),
+        (ended, status, answer) -> {
+          upstreams.ended(upstream);
+          ended(r, ended, status, answer);
+        });
+    upstreams.started(upstream);
     // Checked where the attempt's first byte goes out, which may be a connect later than the decision.
     boolean counts = r.attempts.size() < settings.limits().maxAttempts();
     r.attempts.add(attempt);
     long left = r.deadline - clock.now();
     attempt.start(r.request, a.timeoutNanos() == 0 ? left : Math.min(a.timeoutNanos(), left),
-        () -> counts && maySend(r, a.upstream()), clock, loop);
+        () -> counts && maySend(r, upstream), clock, loop);
   }
 
-  private boolean maySend(OpenRequest r, long upstream) {
+  private boolean maySend(OpenRequest r, UpstreamTable.Entry upstream) {
     long now = clock.now();
-    long leaving = upstreams.get(upstream).leavingSince;
-    boolean drained = leaving > 0 && now - leaving > settings.contract().drainGraceNanos() - DRAIN_MARGIN_NANOS;
+    boolean drained = upstream.leavingFor(now) > settings.contract().drainGraceNanos() - DRAIN_MARGIN_NANOS;
     return !r.ended && !drained && r.repeatIsHarmless(now);
   }
 
--- a/src/main/java/pumicekeel/node/Configuration.java
+++ b/src/main/java/pumicekeel/node/Configuration.java
@@ -33,6 +33,11 @@
         Decoder.settings(f.nested("settings")));
   }
 
+  /** Reads the file again at a reload: then it wins, for the other variables are as old as the process. */
+  static Configuration reread(Map<String, String> environment) throws IOException {
+    return read(Map.of("PROXY_CONFIG", environment.getOrDefault("PROXY_CONFIG", "")));
+  }
+
   private static String variable(Map<String, String> environment, String variable, Fields f, String name) {
     String value = environment.get(variable);
     return value == null || value.isEmpty() ? f.text(name) : value;
--- a/src/main/java/pumicekeel/node/Discovery.java
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -40,11 +40,15 @@
   private static final int MAX_LINE = 4 << 20;
 
   private final EventLoop loop;
-  private final InetSocketAddress address;
+  /** No version of the list is known, so all of it is asked for. */
+  private static final long NO_INDEX = -1;
+
   private final long silenceMillis;
   private final Consumer<HostList> news;
   private final Runnable failed;
+  private InetSocketAddress address;
   private long index;
+  private boolean wanted;
   private Channel current;
 
   Discovery(EventLoop loop, InetSocketAddress address, long index, long silenceMillis, Consumer<HostList> news,
@@ -57,16 +61,42 @@
     this.failed = failed;
   }
 
-  /** Starts a watch, in place of the one that may be on, or ends it. */
+  /** Starts a watch, unless one is on already, or ends it. */
   void watch(boolean on) {
+    wanted = on;
+    if (!on) {
+      stop();
+    } else if (current == null) {
+      connect();
+    }
+  }
+
+  /**
+   * Follows the list at another address from now on. A watch starts there at once, however long the module would
+   * still wait after a failure of the old one; versions of the list there have nothing to do with those here.
+   */
+  void moveTo(InetSocketAddress next) {
+    if (next.equals(address)) {
+      return;
+    }
+    address = next;
+    index = NO_INDEX;
+    stop();
+    if (wanted) {
+      connect();
+    }
+  }
+
+  /** Ends the watch that may be on; it is nobody's failure. */
+  private void stop() {
     Channel before = current;
     current = null;
     if (before != null) {
       before.close();
     }
-    if (!on) {
-      return;
-    }
+  }
+
+  private void connect() {
     WatchHandler handler = new WatchHandler();
     current = new Bootstrap().group(loop).channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
@@ -92,7 +122,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-          "/discovery/hosts?watch=1&after=" + index);
+          "/discovery/hosts?watch=1" + (index == NO_INDEX ? "" : "&after=" + index));
       request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
       ctx.writeAndFlush(request);
       heard();
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -52,6 +52,7 @@
     try {
       Configuration configuration = Configuration.read(environment);
       node = new Node(configuration, () -> Runtime.getRuntime().halt(1));
+      Reload.onHangup(environment, node::reload);
       node.start();
     } catch (IOException | RuntimeException e) {
       err.println("configuration: " + String.valueOf(e.getMessage()).replace('\n', ' ') + ": "
@@ -90,6 +91,14 @@
     return address;
   }
 
+  /** Takes over from a new configuration what may change while the balancer runs: the address of discovery. */
+  void reload(Configuration next) {
+    loop.execute(() -> {
+      Log.line(configuration.name() + " reloads: discovery at " + next.discovery());
+      discovery.moveTo(next.discovery());
+    });
+  }
+
   /** Begins a planned stop: answers what was taken, takes nothing new after a while. */
   void drain() {
     loop.execute(() -> {
--- a/src/main/java/pumicekeel/node/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/node/UpstreamAttempt.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import pumicekeel.Balancer.Status;
@@ -24,35 +23,34 @@
   final int number;
   final long upstream;
   final long decidedAt;
-  private final InetSocketAddress address;
-  private final ConnectionPool pool;
+  private final UpstreamPool pool;
   private final Ending ending;
   private UpstreamConnection connection;
   private ChannelFuture connecting;
   private ScheduledFuture<?> timeout;
+  private long timeoutNanos;
   private boolean sent;
   private long sentAt;
   private Status status;
 
-  UpstreamAttempt(int number, long upstream, long decidedAt, InetSocketAddress address, ConnectionPool pool,
-      Ending ending) {
+  UpstreamAttempt(int number, long upstream, long decidedAt, UpstreamPool pool, Ending ending) {
     this.number = number;
     this.upstream = upstream;
     this.decidedAt = decidedAt;
-    this.address = address;
     this.pool = pool;
     this.ending = ending;
   }
 
   /** Sends on an idle connection or a new one; {@code maySend} is asked again right before the first byte. */
   void start(ClientRequest request, long timeoutNanos, BooleanSupplier maySend, Clock clock, EventLoop loop) {
+    this.timeoutNanos = timeoutNanos;
     timeout = loop.schedule(() -> end(Status.TIMEOUT, null), Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
-    UpstreamConnection idle = pool.takeIdle(address);
+    UpstreamConnection idle = pool.takeIdle();
     if (idle != null) {
       write(idle, request, timeoutNanos, maySend, clock);
       return;
     }
-    connecting = pool.connect(address);
+    connecting = pool.connect();
     if (connecting == null) {
       end(Status.CONNECT_FAILED, null);
       return;
@@ -71,7 +69,7 @@
   private void write(UpstreamConnection to, ClientRequest request, long timeoutNanos, BooleanSupplier maySend,
       Clock clock) {
     if (!maySend.getAsBoolean()) {
-      pool.giveBack(to);
+      to.giveBack();
       end(Status.NOT_SENT, null);
       return;
     }
@@ -125,9 +123,10 @@
         connecting.channel().close();
       }
     }
-    if (how == Status.TIMEOUT) {
-      // A machine that vanished keeps its connections open and silent: none of them is used again.
-      pool.closeIdle(address);
+    if (how == Status.TIMEOUT && !pool.heardWithin(timeoutNanos)) {
+      // A machine that vanished keeps its connections open and silent: none of them is used again. One that still
+      // answers others was only slow, and closing all would cost it a storm of new connections.
+      pool.closeIdle();
     }
     ending.ended(this, how, answer);
   }
--- a/src/main/java/pumicekeel/node/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/node/UpstreamConnection.java
@@ -1,6 +1,6 @@
 package pumicekeel.node;
 
-import io.netty.channel.Channel;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -12,47 +12,58 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import pumicekeel.Balancer.Status;
 
-/** A connection to an upstream: sends one attempt at a time and reads how it ended. */
-final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+/**
+ * A connection to an upstream: sends one attempt at a time and reads how it ended. Only once a read is over with
+ * nothing left is the connection used again: whatever else comes on it belongs to no request.
+ */
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements AnswerDecoder.Reader {
 
-  /** A body beyond the protocol's limit is malformed. */
-  private static final int MAX_BODY = 64 << 10;
+  private static final byte[] START = "HTTP/1.1 ".getBytes(StandardCharsets.US_ASCII);
+  /** From an answer's first byte to its last: it is small and written whole, so one that stalls is spoilt. */
+  private static final long ANSWER_MILLIS = 300;
 
-  private final ConnectionPool pool;
-  private final Channel channel;
+  private final UpstreamPool pool;
+  private final UpstreamSocket channel;
+  private final AnswerDecoder decoder;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-  private InetSocketAddress address;
   private UpstreamAttempt attempt;
   private ChannelFuture written;
   private HttpResponse response;
+  private ScheduledFuture<?> stalled;
+  private long heard;
+  private int interim;
+  private boolean whole;
+  private boolean surplus;
   long idleSince;
 
-  UpstreamConnection(ConnectionPool pool, Channel channel) {
+  UpstreamConnection(UpstreamPool pool, UpstreamSocket channel, AnswerDecoder decoder) {
     this.pool = pool;
     this.channel = channel;
+    this.decoder = decoder;
   }
 
-  /** Asked of the channel when first needed: a connect's listeners run before channelActive. */
-  InetSocketAddress address() {
-    if (address == null) {
-      address = (InetSocketAddress) channel.remoteAddress();
-    }
-    return address;
+  /** False where the peer has closed, or has sent what nobody asked for. */
+  boolean usable() {
+    return channel.quiet();
   }
 
-  /** False from the moment that the peer's close was seen, before the pool hears of it. */
-  boolean usable() {
-    return channel.isActive();
+  void giveBack() {
+    pool.giveBack(this);
   }
 
   void send(UpstreamAttempt next, FullHttpRequest request) {
     attempt = next;
     response = null;
+    heard = 0;
+    interim = 0;
+    whole = false;
     body.reset();
     written = channel.writeAndFlush(request);
   }
@@ -60,53 +71,85 @@
   /** Gives up what is on this connection, with no outcome. */
   void close() {
     attempt = null;
+    stopWaiting();
     channel.close();
+    pool.remove(this);
+  }
+
+  /** An answer's first bytes already show noise: it is not waited for any longer. */
+  @Override
+  public boolean accepts(ByteBuf bytes) {
+    pool.heard();
+    if (attempt == null || whole || surplus) {
+      surplus = true;
+      return false;
+    }
+    boolean noise = false;
+    for (int i = 0; heard + i < START.length && i < bytes.readableBytes(); i++) {
+      noise |= bytes.getByte(bytes.readerIndex() + i) != START[(int) heard + i];
+    }
+    heard += bytes.readableBytes();
+    surplus = noise;
+    return !noise;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-    if (attempt == null || message.decoderResult().isFailure()) {
-      broken();
+    if (attempt == null || whole || message.decoderResult().isFailure()) {
+      surplus = true;
       return;
     }
     if (message instanceof HttpResponse head) {
       response = head;
+      surplus |= !AnswerHead.sound(head) || interim() && ++interim > AnswerHead.MOST_INTERIM;
     }
-    if (message instanceof HttpContent part && response != null
-        && response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+    if (message instanceof HttpContent part && response != null && !interim() && !surplus) {
       part.content().readBytes(body, part.content().readableBytes());
-      if (body.size() > MAX_BODY) {
-        broken();
-      } else if (message instanceof LastHttpContent) {
-        answered();
-      }
+      surplus = body.size() > Answer.MAX_BODY;
+      whole = !surplus && message instanceof LastHttpContent;
     }
   }
 
-  /** The whole answer has come. One without a length can't be told from one cut short: it counts as broken. */
-  private void answered() {
-    if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
+  private boolean interim() {
+    return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+  }
+
+  /** The read is over: a whole answer counts, whatever came behind it, and anything else that is too much does not. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (whole && attempt != null) {
+      answered();
+    } else if (surplus) {
       broken();
-      return;
+    } else if (stalled == null && begun()) {
+      stalled = ctx.executor().schedule(this::broken, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
     }
+  }
+
+  /** Part of the answer itself has come, not only of interim ones ahead of it. */
+  private boolean begun() {
+    return attempt != null && (decoder.leftOver() || response != null && !interim());
+  }
+
+  private void answered() {
     UpstreamAttempt ended = attempt;
     attempt = null;
-    if (HttpUtil.isKeepAlive(response) && written.isSuccess() && channel.isActive()) {
+    stopWaiting();
+    if (!surplus && !decoder.leftOver() && HttpUtil.isKeepAlive(response) && written.isSuccess()
+        && channel.isActive()) {
       pool.giveBack(this);
     } else {
       channel.close();
     }
-    ended.end(statusOf(response), new Answer(body.toByteArray(), response.headers().get(HttpHeaderNames.CONTENT_TYPE)));
+    ended.end(AnswerHead.statusOf(response),
+        new Answer(body.toByteArray(), response.headers().get(HttpHeaderNames.CONTENT_TYPE)));
   }
 
-  /** Only X-Unprocessed proves that a request never ran; a bare 503 may stand for one that did. */
-  private static Status statusOf(HttpResponse response) {
-    int code = response.status().code();
-    if (code == 200) {
-      return Status.SERVED;
+  private void stopWaiting() {
+    if (stalled != null) {
+      stalled.cancel(false);
+      stalled = null;
     }
-    boolean never = (code == 503 || code == 504) && "1".equals(response.headers().get("X-Unprocessed"));
-    return never ? Status.FULL : Status.ERROR;
   }
 
   @Override
@@ -117,19 +160,17 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
-      Log.line("upstream " + address() + ": " + cause);
+      Log.line("upstream " + pool.address() + ": " + cause);
     }
     broken();
   }
 
-  /** The connection is of no use any more: what was on it ran perhaps, if its last byte went out. */
+  /** The connection is of no use any more: what was on it ran perhaps, if its last byte went out or an answer came. */
   private void broken() {
     UpstreamAttempt ended = attempt;
-    attempt = null;
-    channel.close();
-    pool.remove(this);
+    close();
     if (ended != null) {
-      ended.end(written.isSuccess() ? Status.RESET : Status.CONNECT_FAILED, null);
+      ended.end(written.isSuccess() || heard > 0 ? Status.RESET : Status.CONNECT_FAILED, null);
     }
   }
 }
--- /dev/null
+++ b/src/main/java/pumicekeel/node/UpstreamPool.java
@@ -0,0 +1,91 @@
+package pumicekeel.node;
+
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.List;
+
+/**
+ * The idle connections to one upstream, one request each at a time; the one that was used last is used first. It
+ * belongs to the upstream and not to its address: a successor at the same address must not get its predecessor's.
+ */
+final class UpstreamPool {
+
+  private final ConnectionPool all;
+  private final InetSocketAddress address;
+  private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
+  private boolean closed;
+  private long heardAt = System.nanoTime();
+
+  UpstreamPool(ConnectionPool all, InetSocketAddress address) {
+    this.all = all;
+    this.address = address;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** The idle connection that was used last, or null; one on which anything waits unread is of no use. */
+  UpstreamConnection takeIdle() {
+    UpstreamConnection newest = idle.pollFirst();
+    while (newest != null && !newest.usable()) {
+      newest.close();
+      newest = idle.pollFirst();
+    }
+    return newest;
+  }
+
+  /** Opens a connection; null where the limit on sockets leaves no room for one. */
+  ChannelFuture connect() {
+    return all.connect(this);
+  }
+
+  void giveBack(UpstreamConnection connection) {
+    if (closed) {
+      connection.close();
+      return;
+    }
+    connection.idleSince = System.nanoTime();
+    idle.addFirst(connection);
+  }
+
+  /** Forgets a connection that has ended. */
+  void remove(UpstreamConnection connection) {
+    idle.remove(connection);
+  }
+
+  /** The upstream has sent something. */
+  void heard() {
+    heardAt = System.nanoTime();
+  }
+
+  /** Whether the upstream has sent anything, on any connection, in this time. */
+  boolean heardWithin(long nanos) {
+    return System.nanoTime() - heardAt < nanos;
+  }
+
+  void closeIdle() {
+    List<UpstreamConnection> closing = List.copyOf(idle);
+    idle.clear();
+    closing.forEach(UpstreamConnection::close);
+  }
+
+  /** The upstream is gone or has moved: what is idle goes now, the rest when it is given back. */
+  void close() {
+    closed = true;
+    closeIdle();
+    all.forget(this);
+  }
+
+  void closeOlderThan(long before) {
+    while (!idle.isEmpty() && idle.peekLast().idleSince - before <= 0) {
+      idle.pollLast().close();
+    }
+  }
+
+  /** The connection that has been idle longest, or null. */
+  UpstreamConnection oldest() {
+    return idle.peekLast();
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/node/UpstreamTable.java
@@ -0,0 +1,106 @@
+package pumicekeel.node;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import pumicekeel.Balancer.Listed;
+import pumicekeel.Balancer.State;
+
+/** The upstreams that the list names, and those that it named as long as attempts are out to them. */
+final class UpstreamTable {
+
+  /** An upstream as the list last told of it, with its connections. */
+  static final class Entry {
+    private final long id;
+    private UpstreamPool pool;
+    /** When it began to leave, or 0 while it is ready. */
+    private long leavingSince;
+    private boolean gone;
+    private int out;
+
+    private Entry(long id) {
+      this.id = id;
+    }
+
+    UpstreamPool pool() {
+      return pool;
+    }
+
+    /** How long it has been leaving, or 0. */
+    long leavingFor(long now) {
+      return leavingSince == 0 ? 0 : now - leavingSince;
+    }
+  }
+
+  private final ConnectionPool pools;
+  private final Map<Long, Entry> entries = new HashMap<>();
+
+  UpstreamTable(ConnectionPool pools) {
+    this.pools = pools;
+  }
+
+  /** The upstream of this id; null where the list never named it, or it is gone and nothing is out to it. */
+  Entry get(long id) {
+    return entries.get(id);
+  }
+
+  int size() {
+    return entries.size();
+  }
+
+  /** Takes in changes, or the whole list: one that is absent from that is gone. */
+  void news(boolean whole, List<HostList.Host> hosts, long now) {
+    Set<Long> named = new HashSet<>();
+    for (HostList.Host host : hosts) {
+      named.add(host.listed().upstream());
+      update(host, now);
+    }
+    if (whole) {
+      List.copyOf(entries.values()).stream().filter(e -> !named.contains(e.id)).forEach(e -> leave(e, true, now));
+    }
+  }
+
+  private void update(HostList.Host host, long now) {
+    Listed listed = host.listed();
+    Entry e = entries.computeIfAbsent(listed.upstream(), Entry::new);
+    if (e.pool == null || !e.pool.address().equals(host.address()) || e.gone) {
+      if (e.pool != null) {
+        e.pool.close();
+      }
+      e.pool = pools.of(host.address());
+    }
+    if (listed.state() == State.READY) {
+      e.leavingSince = 0;
+      e.gone = false;
+    } else {
+      leave(e, listed.state() == State.GONE, now);
+    }
+  }
+
+  private void leave(Entry e, boolean gone, long now) {
+    e.leavingSince = e.leavingSince == 0 ? now : e.leavingSince;
+    e.gone = gone;
+    if (gone) {
+      e.pool.close();
+      forgetIfOver(e);
+    }
+  }
+
+  void started(Entry e) {
+    e.out++;
+  }
+
+  void ended(Entry e) {
+    e.out--;
+    forgetIfOver(e);
+  }
+
+  /** Guards the memory where upstreams are replaced all day under new ids. */
+  private void forgetIfOver(Entry e) {
+    if (e.gone && e.out == 0) {
+      entries.remove(e.id, e);
+    }
+  }
+}
--- a/src/test/java/pumicekeel/node/ConnectionPoolTest.java
+++ b/src/test/java/pumicekeel/node/ConnectionPoolTest.java
@@ -25,12 +25,15 @@
   private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final BlockingQueue<Status> outcomes = new LinkedBlockingQueue<>();
 
-  private void attempt(ConnectionPool pool, InetSocketAddress address, boolean maySend) {
+  private void send(UpstreamPool pool, String id, boolean maySend, UpstreamAttempt.Ending ending) {
     RequestClass type = new RequestClass("look", Effect.SAFE, DedupScope.ALL, LONG, LONG, 0, LONG, 1, 0, false);
     ClientRequest request =
-        new ClientRequest("1", type, "acme", "k", LONG, 0, false, HttpMethod.GET, "/look", "h", null, null, new byte[0]);
-    loop.execute(() -> new UpstreamAttempt(0, 1, 0, address, pool, (attempt, status, answer) -> outcomes.add(status))
-        .start(request, LONG, () -> maySend, new Clock(), loop));
+        new ClientRequest(id, type, "acme", "k", LONG, 0, false, HttpMethod.GET, "/look", "h", null, null, new byte[0]);
+    new UpstreamAttempt(0, 1, 0, pool, ending).start(request, LONG, () -> maySend, new Clock(), loop);
+  }
+
+  private void attempt(UpstreamPool pool, boolean maySend) {
+    loop.execute(() -> send(pool, "1", maySend, (attempt, status, answer) -> outcomes.add(status)));
   }
 
   private Status outcome() throws InterruptedException {
@@ -41,6 +44,28 @@
     return loop.submit(() -> new ConnectionPool(loop, LONG, idleNanos, most)).get();
   }
 
+  @Test
+  void secondCopyRightBehindAnAnswerIsNotTheNextSendsAnswer() throws Exception {
+    // The next send starts from within the first one's outcome, as a module does that had a request waiting.
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      String answer = FakeServer.ok(request.contains("X-Correlation-Id: 1\n") ? "mine" : "next");
+      FakeServer.write(out, answer + answer);
+    })) {
+      UpstreamPool pool = of(pool(LONG, 10), upstream.address());
+      BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+      loop.execute(() -> send(pool, "1", true, (first, status, answer) -> {
+        bodies.add(new String(answer.body()));
+        send(pool, "2", true, (second, status2, answer2) -> bodies.add(new String(answer2.body())));
+      }));
+      assertEquals("mine", bodies.poll(30, TimeUnit.SECONDS));
+      assertEquals("next", bodies.poll(30, TimeUnit.SECONDS));
+    }
+  }
+
+  private UpstreamPool of(ConnectionPool pool, InetSocketAddress address) throws Exception {
+    return loop.submit(() -> pool.of(address)).get();
+  }
+
   @AfterEach
   void stop() {
     loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
@@ -49,10 +74,10 @@
   @Test
   void sendThatIsOverWhenTheConnectionIsUpWritesNothingAndLeavesItForTheNext() throws Exception {
     try (FakeServer upstream = FakeServer.serving("fine")) {
-      ConnectionPool pool = pool(LONG, 10);
-      attempt(pool, upstream.address(), false);
+      UpstreamPool pool = of(pool(LONG, 10), upstream.address());
+      attempt(pool, false);
       assertEquals(Status.NOT_SENT, outcome());
-      attempt(pool, upstream.address(), true);
+      attempt(pool, true);
       assertEquals(Status.SERVED, outcome());
       assertEquals(1, upstream.requests.size());
       assertEquals(1, upstream.connections.size());
@@ -62,7 +87,7 @@
   @Test
   void idleConnectionIsClosedBeforeTheUpstreamWould() throws Exception {
     try (FakeServer upstream = FakeServer.serving("fine")) {
-      attempt(pool(100_000_000L, 10), upstream.address(), true);
+      attempt(of(pool(100_000_000L, 10), upstream.address()), true);
       assertEquals(Status.SERVED, outcome());
       TestNode.until(() -> upstream.closedByPeer.get() == 1);
     }
@@ -72,11 +97,12 @@
   void atTheLimitAnIdleConnectionGivesWayAndABusyOneDoesNot() throws Exception {
     try (FakeServer first = FakeServer.serving("fine"); FakeServer second = new FakeServer((r, c, out) -> {})) {
       ConnectionPool pool = pool(LONG, 1);
-      attempt(pool, first.address(), true);
+      UpstreamPool toFirst = of(pool, first.address());
+      attempt(toFirst, true);
       assertEquals(Status.SERVED, outcome());
-      attempt(pool, second.address(), true);
+      attempt(of(pool, second.address()), true);
       TestNode.until(() -> first.closedByPeer.get() == 1 && second.requests.size() == 1);
-      attempt(pool, first.address(), true);
+      attempt(toFirst, true);
       assertEquals(Status.CONNECT_FAILED, outcome());
       assertEquals(1, first.requests.size());
     }
--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -98,6 +98,39 @@
     assertEquals("failed", next());
   }
 
+  @Test
+  void moveAsksTheNewOneForAllAtOnceAndIsNobodysFailure() throws Exception {
+    try (FakeServer before = new FakeServer((request, connection, out) -> FakeServer.write(out, HEAD));
+        FakeServer after = new FakeServer((request, connection, out) -> {
+          FakeServer.write(out, HEAD);
+          chunk(out, list(3, true));
+        })) {
+      Discovery discovery = discovery(before.address(), 60_000);
+      TestNode.until(() -> before.requests.size() == 1);
+      loop.execute(() -> discovery.moveTo(after.address()));
+      assertEquals(3, ((HostList) next()).index());
+      assertTrue(after.requests.get(0).startsWith("GET /discovery/hosts?watch=1 "), after.requests.get(0));
+      TestNode.until(() -> before.closedByPeer.get() == 1);
+      loop.execute(() -> discovery.watch(true));
+      loop.submit(() -> {}).get();
+      assertTrue(heard.isEmpty(), "the old one's end is no failure");
+      assertEquals(1, after.requests.size(), "one watch is enough");
+    }
+  }
+
+  @Test
+  void moveDuringTheBackOffDoesNotWaitForItsEnd() throws Exception {
+    try (FakeServer after = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, HEAD);
+      chunk(out, list(3, true));
+    })) {
+      Discovery discovery = discovery(TestNode.nowhere(), 60_000);
+      assertEquals("failed", next());
+      loop.execute(() -> discovery.moveTo(after.address()));
+      assertEquals(3, ((HostList) next()).index(), "though nobody has asked again");
+    }
+  }
+
   @Test
   void nodeFollowsAnAddressThatMovedAndAsksAgainAfterAFailure() throws Exception {
     try (FakeServer before = FakeServer.serving("before"); FakeServer after = FakeServer.serving("after");
--- a/src/test/java/pumicekeel/node/OutcomeTest.java
+++ b/src/test/java/pumicekeel/node/OutcomeTest.java
@@ -38,6 +38,7 @@
         row("whole answer", 200, says(FakeServer.ok("fine"))),
         row("chunked answer", 200, says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n")),
         row("after an interim answer", 200, says("HTTP/1.1 100 Continue\r\n\r\n" + FakeServer.ok("fine"))),
+        row("no reason given", 200, says("HTTP/1.1 103 \r\n\r\n" + FakeServer.ok("fine").replace(" OK", " "))),
         row("error", FAILED, says("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")),
         row("turned away", REFUSED, says("HTTP/1.1 503 U\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")),
         row("over already", REFUSED, says("HTTP/1.1 504 U\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")),
--- a/src/test/java/pumicekeel/node/ProcessTest.java
+++ b/src/test/java/pumicekeel/node/ProcessTest.java
@@ -24,7 +24,7 @@
   private Process process;
   private BufferedReader log;
 
-  private void start(String configuration) throws Exception {
+  private void start(String configuration, String... variable) throws Exception {
     Path file = folder.resolve("config.json");
     if (configuration != null) {
       Files.writeString(file, configuration);
@@ -33,6 +33,9 @@
         "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve");
     builder.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
     builder.environment().put("PROXY_CONFIG", file.toString());
+    for (int i = 0; i < variable.length; i += 2) {
+      builder.environment().put(variable[i], variable[i + 1]);
+    }
     process = builder.redirectErrorStream(true).start();
     log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
   }
@@ -90,6 +93,45 @@
     }
   }
 
+  private void hangup() throws Exception {
+    assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+  }
+
+  private void awaitLog(String part) throws Exception {
+    for (String line = log.readLine(); line != null; line = log.readLine()) {
+      if (line.contains(part)) {
+        return;
+      }
+    }
+    throw new AssertionError("the log never said: " + part);
+  }
+
+  /** Unhandled, SIGHUP ends a Java process. */
+  @Test
+  void sighupFollowsTheNewDiscoveryEachTimeAndABadFileChangesNothing() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine"); FakeServer first = new FakeServer((r, c, out) -> {});
+        FakeServer second = new FakeServer((r, c, out) -> {}); FakeServer third = new FakeServer((r, c, out) -> {})) {
+      start(TestNode.json(first.address(), 1, upstream), "PROXY_DISCOVERY", TestNode.text(first.address()));
+      InetSocketAddress address = address();
+      TestNode.until(() -> first.requests.size() == 1);
+      Path file = folder.resolve("config.json");
+      Files.writeString(file, TestNode.json(second.address(), 1, upstream));
+      hangup();
+      TestNode.until(() -> second.requests.size() == 1 && first.closedByPeer.get() == 1);
+      Files.writeString(file, "{");
+      hangup();
+      awaitLog("the configuration stays as it was");
+      Files.writeString(file, TestNode.json(third.address(), 1, upstream));
+      hangup();
+      TestNode.until(() -> third.requests.size() == 1 && second.closedByPeer.get() == 1);
+      try (TestClient client = new TestClient(address)) {
+        assertEquals("fine", client.call(TestClient.order("1", 15_000)).body());
+      }
+      process.destroy();
+      assertEquals(0, status());
+    }
+  }
+
   @Test
   void badConfigurationIsOnePlainLineAndStatusTwo() throws Exception {
     String good = TestNode.json(TestNode.nowhere(), 1);
--- /dev/null
+++ b/src/test/java/pumicekeel/node/SpoiltAnswerTest.java
@@ -0,0 +1,117 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Upstreams that answer what can't be used, or more than was asked for. */
+class SpoiltAnswerTest {
+
+  private static final int FAILED = 502;
+
+  private static FakeServer.Behaviour says(String answer) {
+    return (request, connection, out) -> FakeServer.write(out, answer);
+  }
+
+  private static Arguments row(String name, String answer) {
+    return Arguments.of(name, answer);
+  }
+
+  /** All leave the connection open and silent: only a close on the balancer's side shows that they were seen. */
+  static Stream<Arguments> spoilt() {
+    return Stream.of(
+        row("noise without a line's end", "\u0001\u0002noise"),
+        row("3 GB announced", "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nfine"),
+        row("two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nfine"),
+        row("two lengths in 1.0", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfine"),
+        row("length and chunks",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"),
+        row("a line without a colon", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nfine"),
+        row("a blank ahead of a colon", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nfine"),
+        row("another coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"),
+        row("lines ended by LF alone", "HTTP/1.1 200 OK\nContent-Length: 4\n\nfine"),
+        row("neither length nor chunks", "HTTP/1.1 200 OK\r\n\r\nfine"),
+        row("another protocol", "HTTP/1.1 101 S\r\nUpgrade: x\r\n\r\nfine"),
+        row("interim answers without end", "HTTP/1.1 102 P\r\n\r\n".repeat(50)),
+        row("a head without end", "HTTP/1.1 200 OK\r\n" + "X: y\r\n".repeat(3_000)),
+        row("a head that stalls", "HTTP/1.1 200 OK\r\nContent-Le"),
+        row("a body that stalls", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("spoilt")
+  void spoiltAnswerIsAFailureAtOnceAndItsConnectionIsClosed(String name, String answer) throws Exception {
+    try (FakeServer upstream = new FakeServer(says(answer))) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        long start = System.nanoTime();
+        assertEquals(FAILED, client.call(TestClient.order("1", 20_000)).status());
+        assertTrue(System.nanoTime() - start < 15_000_000_000L, "long before the request's time is up");
+        TestNode.until(() -> upstream.closedByPeer.get() == 1);
+      }
+    }
+  }
+
+  static Stream<Arguments> surplus() {
+    return Stream.of(
+        row("a second copy", FakeServer.ok("mine")),
+        row("half a line", "HTT"),
+        row("noise", "\u0000\u0001\u0002"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("surplus")
+  void whatComesBehindAnAnswerIsNeverTheNextOnes(String name, String behind) throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      String body = request.contains("X-Correlation-Id: 1\n") ? "mine" : "next";
+      FakeServer.write(out, FakeServer.ok(body) + (body.equals("mine") ? behind : ""));
+    })) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient first = new TestClient(node.address); TestClient second = new TestClient(node.address)) {
+        assertEquals("mine", first.call(TestClient.order("1", 15_000)).body());
+        assertEquals("next", second.call(TestClient.order("2", 15_000)).body());
+        assertEquals(2, upstream.connections.size(), "the first connection is of no further use");
+        TestNode.until(() -> upstream.closedByPeer.get() == 1);
+      }
+    }
+  }
+
+  @Test
+  void whatComesOnAnIdleConnectionClosesIt() throws Exception {
+    CountDownLatch answered = new CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, FakeServer.ok("fine"));
+      answered.await();
+      FakeServer.write(out, "H");
+    })) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        assertEquals("fine", client.call(TestClient.order("1", 15_000)).body());
+        answered.countDown();
+        TestNode.until(() -> upstream.closedByPeer.get() == 1);
+        assertEquals("fine", client.call(TestClient.order("2", 15_000)).body());
+      }
+    }
+  }
+
+  @Test
+  void interimAnswersAndAnUnreadableReportSpoilNothing() throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, "HTTP/1.1 103 E\r\nLink: x\r\n\r\n");
+      // Longer than an answer may take from its first byte to its last: an interim one is not its first byte.
+      Thread.sleep(600);
+      FakeServer.write(out, "HTTP/1.1 200 OK\r\nX-Backend-Load: inflight==;7,,\r\nContent-Length: 4\r\n\r\nfine");
+    })) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        assertEquals("fine", client.call(TestClient.order("1", 15_000)).body());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/node/UpstreamTableTest.java
@@ -0,0 +1,81 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pumicekeel.Balancer.Listed;
+import pumicekeel.Balancer.State;
+
+/** What is remembered of upstreams that come and go all day. */
+class UpstreamTableTest {
+
+  private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final UpstreamTable table =
+      new UpstreamTable(new ConnectionPool(loop, 1_000_000_000L, 60_000_000_000L, 10));
+
+  private static HostList.Host host(long id, State state) {
+    return new HostList.Host(TestNode.nowhere(), new Listed(id, "a", 1, state, 0, 1));
+  }
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void thousandReplacedUpstreamsLeaveNothingBehind() {
+    table.news(true, List.of(host(0, State.READY)), 1);
+    for (int id = 1; id <= 1_000; id++) {
+      table.news(false, List.of(host(id, State.READY), host(id - 1, State.DRAINING)), id);
+      table.news(false, List.of(host(id - 1, State.GONE)), id);
+    }
+    assertEquals(1, table.size());
+    assertNotNull(table.get(1_000));
+  }
+
+  @Test
+  void oneThatIsGoneIsRememberedWhileAnAttemptIsOut() {
+    table.news(true, List.of(host(1, State.READY), host(2, State.READY)), 1);
+    UpstreamTable.Entry first = table.get(1);
+    table.started(first);
+    table.news(true, List.of(host(2, State.READY)), 5);
+    assertSame(first, table.get(1));
+    assertEquals(4, first.leavingFor(9), "absent from a whole list");
+    table.ended(first);
+    assertNull(table.get(1));
+    assertEquals(4, first.leavingFor(9), "a send that is still to come may ask");
+  }
+
+  @Test
+  void successorAtTheSameAddressInheritsNothing() {
+    table.news(true, List.of(host(1, State.READY)), 1);
+    table.news(false, List.of(host(1, State.DRAINING)), 2);
+    UpstreamPool before = table.get(1).pool();
+    table.news(false, List.of(host(2, State.READY)), 3);
+    UpstreamPool after = table.get(2).pool();
+    assertEquals(before.address(), after.address());
+    assertFalse(before == after);
+    assertEquals(0, table.get(2).leavingFor(9));
+    assertTrue(table.get(1).leavingFor(9) > 0);
+  }
+
+  @Test
+  void oneThatIsReadyAgainLeavesNoMore() {
+    table.news(true, List.of(host(1, State.READY)), 1);
+    table.news(false, List.of(host(1, State.DRAINING)), 2);
+    table.news(false, List.of(host(1, State.GONE)), 3);
+    table.news(false, List.of(host(1, State.READY)), 4);
+    assertEquals(0, table.get(1).leavingFor(9));
+  }
+}
