--- a/src/main/java/pumicekeel/node/AnswerDecoder.java
+++ b/src/main/java/pumicekeel/node/AnswerDecoder.java
@@ -15,13 +15,7 @@
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
-  /** Told of raw bytes before they are decoded. */
-  interface Reader {
-    /** Whether these bytes may be part of an answer; otherwise they are dropped. */
-    boolean accepts(ByteBuf bytes);
-  }
-
-  private Reader reader;
+  private RawReader reader;
   /** From an answer's first line to its end; the line itself may end in a blank where it gives no reason. */
   private boolean behindFirstLine;
 
@@ -29,7 +23,7 @@
     super(new HttpDecoderConfig().setStrictLineParsing(true));
   }
 
-  void reader(Reader next) {
+  void reader(RawReader next) {
     reader = next;
   }
 
--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -48,6 +48,7 @@
   private final List<OpenRequest> over = new ArrayList<>();
   private Consumer<Boolean> watch = on -> {};
   private boolean handling;
+  private long endsAt = Long.MAX_VALUE;
 
   BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, ConnectionPool pool,
       Consumer<RuntimeException> defect) {
@@ -69,8 +70,9 @@
 
   /** Takes a request; false where its id is open already, which must not replace the first one. */
   boolean take(ClientRequest request, Client client) {
-    long left = Math.max(0, request.leftNanos() - ANSWER_MARGIN_NANOS);
-    OpenRequest r = new OpenRequest(request, client, clock.now() + left);
+    long now = clock.now();
+    long left = Math.max(0, Math.min(request.leftNanos() - ANSWER_MARGIN_NANOS, endsAt - now));
+    OpenRequest r = new OpenRequest(request, client, now + left);
     if (table.putIfAbsent(request.id(), r) != null) {
       return false;
     }
@@ -80,6 +82,11 @@
     return true;
   }
 
+  /** The process ends after so long: no request that is taken from now on may last longer. */
+  void endBy(long nanos) {
+    endsAt = clock.now() + nanos;
+  }
+
   void clientGone(String id) {
     OpenRequest r = table.get(id);
     if (r != null && end(r)) {
@@ -90,7 +97,7 @@
   /** Guards against a module that leaves a request without its answer until the client's time is up. */
   private void answerForModule(OpenRequest r) {
     if (end(r)) {
-      Log.line("answered for the module: " + r.request.id());
+      Log.caused("answered for the module: " + r.request.id());
       giveUp(r, 0);
       tell(new ClientGone(r.request.id()));
     }
@@ -183,7 +190,7 @@
     } else if (action instanceof Watch a) {
       watch.accept(a.on());
     } else if (action instanceof Balancer.Log a) {
-      Log.line("module: " + a.text());
+      Log.caused("module: " + a.text());
     } else {
       throw new IllegalStateException("the module asked for what this balancer has no use of: "
           + action.getClass().getSimpleName());
--- a/src/main/java/pumicekeel/node/ClientHandler.java
+++ b/src/main/java/pumicekeel/node/ClientHandler.java
@@ -1,5 +1,6 @@
 package pumicekeel.node;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -17,13 +19,17 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 
 /** One client connection: reads a request at a time, hands it to the core and writes its answer. */
-final class ClientHandler extends SimpleChannelInboundHandler<HttpObject> implements Client {
+final class ClientHandler extends SimpleChannelInboundHandler<HttpObject> implements Client, RawReader {
 
-  private static final int MAX_BODY = 64 << 10;
+  /** A client that was told of its mistake is not read for so long: it may well ask the same again at full speed. */
+  private static final long PENALTY_MILLIS = 500;
+  /** What is dropped behind a request that waits, to see its client leave; then reading stops: no flood is read. */
+  private static final int MOST_DROPPED = 64 << 10;
 
   private final ClientSide side;
   private ChannelHandlerContext ctx;
@@ -33,6 +39,13 @@
   private String waiting;
   private boolean keepAlive;
   private boolean discarding;
+  private long dropped;
+  private final long openedAt = System.nanoTime();
+  /** When the last request ended, and when the first byte came of the one that has come in part; 0 for never. */
+  private long answeredAt;
+  private long partSince;
+  /** When the socket took no more of an answer; 0 while it does. */
+  private long stuckSince;
 
   ClientHandler(ClientSide side) {
     this.side = side;
@@ -45,7 +58,7 @@
 
   /** Nothing of a request has come that has no answer yet. */
   boolean idle() {
-    return untaken() && head == null;
+    return untaken() && partSince == 0;
   }
 
   /** No whole request has come that has no answer yet, and no last answer is on its way out. */
@@ -53,6 +66,55 @@
     return waiting == null && !discarding;
   }
 
+  /** A connection on which nothing was ever asked in whole. */
+  boolean neverAsked() {
+    return idleOrPart() && answeredAt == 0;
+  }
+
+  /** How long nothing has been open on it, since the last answer or the connect. */
+  long idleFor(long now) {
+    return now - (answeredAt == 0 ? openedAt : answeredAt);
+  }
+
+  /** How long a request has been coming in, counted from the connect for the first one; 0 where none is. */
+  long comingFor(long now) {
+    return !idleOrPart() || partSince == 0 ? 0 : now - (answeredAt == 0 ? openedAt : partSince);
+  }
+
+  /** How long the client has not taken what was written to it. */
+  long stuckFor(long now) {
+    return stuckSince == 0 ? 0 : now - stuckSince;
+  }
+
+  private boolean idleOrPart() {
+    return waiting == null && !discarding;
+  }
+
+  /** Ends a request that does not come to its end. */
+  void expire() {
+    reject(408, "the request took too long");
+  }
+
+  void abort() {
+    ctx.close();
+  }
+
+  /** Notes a request's first byte, and drops what a client sends that is not read any more. */
+  @Override
+  public boolean accepts(ByteBuf bytes) {
+    if (waiting == null && !discarding) {
+      partSince = partSince == 0 ? System.nanoTime() : partSince;
+      return true;
+    }
+    discarding = true;
+    keepAlive = false;
+    dropped += bytes.readableBytes();
+    if (dropped > MOST_DROPPED) {
+      ctx.channel().config().setAutoRead(false);
+    }
+    return false;
+  }
+
   /** Closes once all that was written has gone out: an answer must not be cut short. */
   void close() {
     ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -72,7 +134,7 @@
     }
     if (message instanceof HttpContent part && head != null) {
       part.content().readBytes(body, part.content().readableBytes());
-      if (body.size() > MAX_BODY) {
+      if (body.size() > Answer.MAX_BODY) {
         reject(413, "body over 64 KiB");
       } else if (message instanceof LastHttpContent) {
         whole();
@@ -84,7 +146,13 @@
     if (waiting != null) {
       // Pipelining: the first request still gets its answer, the rest is dropped with the connection.
       keepAlive = false;
-      discard();
+      discarding = true;
+      return;
+    }
+    try {
+      RequestHead.check(next);
+    } catch (ClientRequest.Bad e) {
+      reject(e.status, e.getMessage());
       return;
     }
     head = next;
@@ -104,8 +172,8 @@
     HttpRequest request = head;
     head = null;
     keepAlive = HttpUtil.isKeepAlive(request);
-    if (request.uri().equals("/up") || request.uri().equals(WarmUp.PATH) && !side.serves(WarmUp.PATH)) {
-      write(side.ready() || request.uri().equals(WarmUp.PATH) ? 200 : 503, new byte[0], "text/plain", 0);
+    if (request.uri().equals("/up") || side.warmsUpAt(request.uri())) {
+      write(side.ready() || side.warmsUpAt(request.uri()) ? 200 : 503, new byte[0], "text/plain", 0);
       return;
     }
     try {
@@ -116,10 +184,27 @@
         throw new ClientRequest.Bad(409, "this id is open already");
       }
     } catch (ClientRequest.Bad e) {
-      write(e.status, e.getMessage().getBytes(StandardCharsets.UTF_8), "text/plain", 0);
+      // No body to an answer to HEAD: it would be taken for the next answer.
+      String why = request.method().equals(HttpMethod.HEAD) ? "" : e.getMessage();
+      write(e.status, why.getBytes(StandardCharsets.UTF_8), "text/plain", 0);
+      pause();
     }
   }
 
+  /** Slows a client that breaks the protocol; ending its connection would only bring it back at once. */
+  private void pause() {
+    ctx.channel().config().setAutoRead(false);
+    ctx.executor().schedule(() -> ctx.channel().config().setAutoRead(!discarding && ctx.channel().isWritable()),
+        PENALTY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Reads nothing from a client that does not take its answers. */
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    stuckSince = context.channel().isWritable() ? 0 : System.nanoTime();
+    context.channel().config().setAutoRead(context.channel().isWritable() && dropped <= MOST_DROPPED);
+  }
+
   /** Answers what breaks the protocol; a request that is taken already keeps its own, only answer. */
   private void reject(int status, String why) {
     keepAlive = false;
@@ -147,6 +232,8 @@
 
   private void write(int status, byte[] content, String contentType, long retryAfterNanos) {
     waiting = null;
+    partSince = 0;
+    answeredAt = System.nanoTime();
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
         Unpooled.wrappedBuffer(content));
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
@@ -154,9 +241,9 @@
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
     }
     if (retryAfterNanos > 0) {
-      response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterNanos / 1e9));
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, BigDecimal.valueOf(retryAfterNanos / 1_000_000, 3).toPlainString());
     }
-    boolean last = !keepAlive || side.draining();
+    boolean last = !keepAlive || side.closing();
     if (last) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
@@ -181,7 +268,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (!(cause instanceof IOException)) {
-      Log.line("client " + context.channel().remoteAddress() + ": " + cause);
+      Log.caused("client " + context.channel().remoteAddress() + ": " + cause);
     }
     context.close();
   }
--- /dev/null
+++ b/src/main/java/pumicekeel/node/ClientLimits.java
@@ -0,0 +1,72 @@
+package pumicekeel.node;
+
+import io.netty.channel.EventLoop;
+import java.util.Comparator;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Time limits on client connections: without them those that say nothing, or never come to a request's end, stay for
+ * ever, and once they hold all descriptors nobody is accepted any more. One look at all of them now and then costs
+ * less than timers of each one's own.
+ */
+final class ClientLimits {
+
+  private static final long MILLI = 1_000_000L;
+  /** The period of the looks: short, since at the limit the next client waits for one. */
+  private static final long LOOK_MILLIS = 50;
+  /** From the connect to the first request's end, or from a later one's first byte: an error is owed within 3 s. */
+  private static final long REQUEST_NANOS = 2_300 * MILLI;
+  /** A connection that asked before may be closed after 2 s, and is where there are many. */
+  private static final long IDLE_NANOS = 2_000 * MILLI;
+  /** And where there are few: it costs memory, and clients that keep one for good never use it again. */
+  private static final long IDLE_LONG_NANOS = 10_000 * MILLI;
+  private static final double MANY_PART = 0.5;
+  /** At the limit, one that has not asked so long after its connect: usual clients ask at once. */
+  private static final long SILENT_NANOS = 250 * MILLI;
+  /** A client that does not take its answer for so long does not want it. */
+  private static final long STUCK_NANOS = 5_000 * MILLI;
+
+  private final EventLoop loop;
+  private final ClientSide side;
+  private final int most;
+
+  ClientLimits(EventLoop loop, ClientSide side, int most) {
+    this.loop = loop;
+    this.side = side;
+    this.most = most;
+  }
+
+  void start() {
+    loop.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void look() {
+    long now = System.nanoTime();
+    for (ClientHandler c : side.connections()) {
+      long coming = c.comingFor(now);
+      if (c.stuckFor(now) > STUCK_NANOS) {
+        c.abort();
+      } else if (coming > REQUEST_NANOS || full() && c.neverAsked() && coming > SILENT_NANOS) {
+        c.expire();
+      } else if (c.idle() && c.idleFor(now) > longestIdle(c)) {
+        c.close();
+      }
+    }
+    if (full()) {
+      // Every one of them is busy or was so just now: the longest idle one gives way.
+      side.connections().stream().filter(c -> c.idle() && !c.neverAsked())
+          .max(Comparator.comparingLong(c -> c.idleFor(now))).ifPresent(ClientHandler::close);
+    }
+  }
+
+  private long longestIdle(ClientHandler c) {
+    if (c.neverAsked()) {
+      return full() ? SILENT_NANOS : REQUEST_NANOS;
+    }
+    return side.open() > most * MANY_PART ? IDLE_NANOS : IDLE_LONG_NANOS;
+  }
+
+  private boolean full() {
+    return side.open() >= most;
+  }
+}
--- a/src/main/java/pumicekeel/node/ClientRequest.java
+++ b/src/main/java/pumicekeel/node/ClientRequest.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.List;
 import pumicekeel.Balancer.Effect;
 import pumicekeel.Balancer.RequestClass;
 import pumicekeel.Balancer.Settings;
@@ -22,14 +23,24 @@
     private static final long serialVersionUID = 1L;
     final int status;
 
+    /** Without a stack trace: clients that break the protocol do so at full speed. */
     Bad(int status, String what) {
-      super(what);
+      super(what, null, false, false);
       this.status = status;
     }
   }
 
+  /** The headers that say what a request is: each once, or readers would differ over which one counts. */
+  private static final List<String> ONCE = List.of(ID, "X-Service-Class", "X-Account", "X-Session-Key", TIME_LEFT,
+      IDEMPOTENCY_KEY, "X-Weight-Hint", "X-Repeat", HttpHeaderNames.HOST.toString());
+
   static ClientRequest of(HttpRequest head, byte[] body, Settings settings) throws Bad {
     HttpHeaders h = head.headers();
+    for (String name : ONCE) {
+      if (h.getAll(name).size() > 1) {
+        throw new Bad(400, "repeated " + name);
+      }
+    }
     String name = needed(h, "X-Service-Class");
     RequestClass type = settings.classes().stream().filter(c -> c.name().equals(name)).findFirst()
         .orElseThrow(() -> new Bad(400, "unknown class"));
--- a/src/main/java/pumicekeel/node/ClientSide.java
+++ b/src/main/java/pumicekeel/node/ClientSide.java
@@ -5,8 +5,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,6 +18,9 @@
 final class ClientSide {
 
   private static final int BACKLOG = 1024;
+  /** Read a piece at a time and few pieces in a row, or one client that floods would keep all others waiting. */
+  private static final int READ_BYTES = 4096;
+  private static final int READS_IN_A_ROW = 2;
 
   private final EventLoop loop;
   private final Settings settings;
@@ -27,12 +31,16 @@
   private Channel listener;
   private boolean ready;
   private boolean draining;
+  private boolean closing;
+  private String warmUpPath;
 
-  ClientSide(EventLoop loop, Settings settings, BalancerCore core, int most) {
+  /** At most so many connections; {@code warmUpPath} is answered as {@code /up} until this side is ready. */
+  ClientSide(EventLoop loop, Settings settings, BalancerCore core, int most, String warmUpPath) {
     this.loop = loop;
     this.settings = settings;
     this.core = core;
     this.most = most;
+    this.warmUpPath = warmUpPath;
   }
 
   /** Listens; waits for the bind, so it is not to be called on the loop. */
@@ -41,36 +49,46 @@
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+            new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_IN_A_ROW))
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
             ClientHandler handler = new ClientHandler(ClientSide.this);
-            channel.pipeline().addLast(new HttpServerCodec(), handler);
+            channel.pipeline().addLast(new RequestDecoder(handler), new HttpResponseEncoder(), handler);
             opened(handler);
           }
         }).bind(address).sync().channel();
+    loop.execute(new ClientLimits(loop, this, most)::start);
     return (InetSocketAddress) listener.localAddress();
   }
 
   void setReady() {
     ready = true;
+    warmUpPath = null;
   }
 
   boolean ready() {
     return ready && !draining;
   }
 
-  boolean draining() {
-    return draining;
+  /** Whether each answer is its connection's last. */
+  boolean closing() {
+    return closing;
   }
 
   Settings settings() {
     return settings;
   }
 
-  /** Whether the path is that of a class of requests. */
-  boolean serves(String path) {
-    return settings.classes().stream().anyMatch(c -> path.equals("/" + c.name()));
+  /** Whether this is where the balancer's own warm-up asks: nobody else knows the path, and it ends with that. */
+  boolean warmsUpAt(String uri) {
+    return uri.equals(warmUpPath);
+  }
+
+  /** All connections, the one that got its last answer longest ago first. */
+  List<ClientHandler> connections() {
+    return List.copyOf(connections);
   }
 
   int open() {
@@ -85,18 +103,17 @@
     core.clientGone(id);
   }
 
-  /** Keeps the sockets few: at the limit the longest idle connection goes, and with none idle nothing is accepted. */
+  /** With no room left nothing is accepted until {@link ClientLimits} has made some. */
   private void opened(ClientHandler handler) {
     connections.add(handler);
-    if (connections.size() > most) {
-      connections.stream().filter(c -> c != handler && c.idle()).findFirst().ifPresentOrElse(ClientHandler::close,
-          () -> listener.config().setAutoRead(false));
+    if (connections.size() >= most) {
+      listener.config().setAutoRead(false);
     }
   }
 
   void closed(ClientHandler handler) {
     connections.remove(handler);
-    if (connections.size() <= most && listener != null && listener.isOpen()) {
+    if (connections.size() < most && listener != null && listener.isOpen()) {
       listener.config().setAutoRead(true);
     }
   }
@@ -107,10 +124,9 @@
     }
   }
 
-  /** Begins a planned stop: clients are sent elsewhere with the answers they still get. */
+  /** Begins a planned stop: the front is told to send no more clients; those that are here are served on. */
   void drain() {
     draining = true;
-    List.copyOf(connections).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
   }
 
   /** Accepts no more. */
@@ -120,6 +136,7 @@
 
   /** Takes no more, also of what has come in part: a slow sender must not keep the process from its end. */
   void closeUntaken() {
+    closing = true;
     List.copyOf(connections).stream().filter(ClientHandler::untaken).forEach(ClientHandler::close);
   }
 }
--- a/src/main/java/pumicekeel/node/Discovery.java
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -188,7 +188,7 @@
       channel.close();
       if (current == channel) {
         current = null;
-        Log.line("discovery: watch failed: " + why);
+        Log.caused("discovery: watch failed: " + why);
         failed.run();
       }
     }
--- a/src/main/java/pumicekeel/node/Log.java
+++ b/src/main/java/pumicekeel/node/Log.java
@@ -1,10 +1,30 @@
 package pumicekeel.node;
 
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
 /** The balancer's log: changes of state, a line each, on standard error. */
 final class Log {
 
+  /** Lines a second that peers may cause together: more tell nothing new, and a flood of them costs the core. */
+  private static final int CAUSED_PER_SECOND = 5;
+  private static final AtomicLong SECOND = new AtomicLong();
+  private static final AtomicInteger CAUSED = new AtomicInteger();
+
   private Log() {}
 
+  /** A line that something on a socket caused: left out where there are too many. */
+  static void caused(String text) {
+    long second = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
+    if (SECOND.getAndSet(second) != second) {
+      CAUSED.set(0);
+    }
+    if (CAUSED.incrementAndGet() <= CAUSED_PER_SECOND) {
+      line(text);
+    }
+  }
+
   static void line(String text) {
     System.err.println(text.replace('\n', ' ').replace('\r', ' '));
   }
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -17,9 +17,13 @@
   /** Shares of the sockets for clients and for upstreams; the rest is for discovery and the process itself. */
   private static final double CLIENT_SHARE = 0.45;
   private static final double UPSTREAM_SHARE = 0.4;
-  /** After SIGTERM: clients still come for 0.4 s, and what is taken after 0.7 s may be lost. */
+  /** After SIGTERM new clients still come for 0.4 s, and SIGKILL comes the longest deadline, 3 s at most, and 0.7 s
+   * later: all is answered by a little before that. Clients use the connections that they have as long as these stay
+   * open, and another balancer may be away: until a second before the end they are served as ever. */
   private static final long ACCEPT_MILLIS = 500;
-  private static final long TAKE_MILLIS = 600;
+  private static final long LONGEST_DEADLINE_MILLIS = 3_000;
+  private static final long END_MILLIS = 500;
+  private static final long LAST_MILLIS = 1_000;
   private static final long POLL_MILLIS = 10;
 
   private final EventLoop loop =
@@ -28,6 +32,7 @@
   private final Runnable crash;
   private final BalancerCore core;
   private final ClientSide clients;
+  private final String warmUpPath = WarmUp.newPath();
   private final Discovery discovery;
   private final CountDownLatch ready = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -41,7 +46,8 @@
         settings.limits().connectionIdleNanos(), (int) (configuration.sockets() * UPSTREAM_SHARE));
     core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), new Clock(), loop, pool,
         this::defect);
-    clients = new ClientSide(loop, settings, core, (int) (configuration.sockets() * CLIENT_SHARE));
+    clients = new ClientSide(loop, settings, core, (int) (configuration.sockets() * CLIENT_SHARE),
+        warmUpPath);
     discovery = new Discovery(loop, configuration.discovery(), configuration.known().index(),
         Discovery.SILENCE_MILLIS, core::news, core::watchFailed);
   }
@@ -82,7 +88,7 @@
     InetSocketAddress address = clients.listen(configuration.listen());
     loop.execute(() -> {
       core.start(configuration.known(), discovery::watch);
-      WarmUp.run(loop, address, configuration.settings(), () -> {
+      WarmUp.run(loop, address, warmUpPath, configuration.settings(), () -> {
         clients.setReady();
         Log.line(configuration.name() + " serves at " + address);
         ready.countDown();
@@ -104,8 +110,11 @@
     loop.execute(() -> {
       Log.line(configuration.name() + " drains");
       clients.drain();
+      long end = END_MILLIS + Math.min(LONGEST_DEADLINE_MILLIS, configuration.settings().classes().stream()
+          .mapToLong(c -> TimeUnit.NANOSECONDS.toMillis(c.deadlineNanos())).max().orElse(0));
+      core.endBy(TimeUnit.MILLISECONDS.toNanos(end));
       loop.schedule(clients::stopListening, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
-      loop.schedule(this::takeNoMore, TAKE_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::takeNoMore, Math.max(ACCEPT_MILLIS, end - LAST_MILLIS), TimeUnit.MILLISECONDS);
     });
   }
 
--- /dev/null
+++ b/src/main/java/pumicekeel/node/RequestHead.java
@@ -0,0 +1,33 @@
+package pumicekeel.node;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import pumicekeel.node.ClientRequest.Bad;
+
+/**
+ * Checks of a request's framing, at its head: guards against a request that hides another in its body, and against
+ * bodies that would be read only to be refused.
+ */
+final class RequestHead {
+
+  private RequestHead() {}
+
+  static void check(HttpRequest head) throws Bad {
+    if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      throw new Bad(505, "HTTP/1.1 only");
+    }
+    List<String> lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH);
+    List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    if (lengths.size() + codings.size() > 1
+        || !codings.isEmpty() && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))) {
+      throw new Bad(400, "more than one way to tell where the body ends");
+    }
+    if (HttpUtil.getContentLength(head, 0L) > Answer.MAX_BODY) {
+      throw new Bad(413, "body over 64 KiB");
+    }
+  }
+}
--- a/src/main/java/pumicekeel/node/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/node/UpstreamConnection.java
@@ -23,7 +23,7 @@
  * A connection to an upstream: sends one attempt at a time and reads how it ended. Only once a read is over with
  * nothing left is the connection used again: whatever else comes on it belongs to no request.
  */
-final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements AnswerDecoder.Reader {
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements RawReader {
 
   private static final byte[] START = "HTTP/1.1 ".getBytes(StandardCharsets.US_ASCII);
   /** From an answer's first byte to its last: it is small and written whole, so one that stalls is spoilt. */
@@ -160,7 +160,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
-      Log.line("upstream " + pool.address() + ": " + cause);
+      Log.caused("upstream " + pool.address() + ": " + cause);
     }
     broken();
   }
--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -3,11 +3,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import pumicekeel.AdaptiveBalancer;
 import pumicekeel.Balancer.DedupScope;
@@ -19,20 +20,20 @@
 
 /**
  * Guards the first clients from a cold JVM: before the balancer says that it is up, made-up requests run through all
- * of its code, with a module and a pool of their own, to the balancer's own {@link #PATH}.
+ * of its code, with a module and a pool of their own, to a path of the balancer's own that nobody else knows.
  */
 final class WarmUp {
 
-  /** Answered by every balancer at once, ready or not. */
-  static final String PATH = "/live";
-  private static final int REQUESTS = 500;
+  private static final int REQUESTS = 300;
   private static final int AT_ONCE = 8;
   private static final int UPSTREAMS = 3;
   private static final int KEYS = 50;
-  private static final long LONGEST_NANOS = 2_000_000_000L;
+  /** A restarted balancer is missed while it warms up, and half a core is all that it may have. */
+  private static final long LONGEST_NANOS = 1_200_000_000L;
   private static final long SECOND = 1_000_000_000L;
 
   private final EventLoop loop;
+  private final String path;
   private final Clock clock = new Clock();
   private final ConnectionPool pool;
   private final BalancerCore core;
@@ -43,14 +44,20 @@
   private int sent;
 
   /** Runs on the loop and calls {@code done} there, after so many requests or so long. */
-  static void run(EventLoop loop, InetSocketAddress self, Settings settings, Runnable done) {
-    new WarmUp(loop, self, settings, done).start(self);
+  static void run(EventLoop loop, InetSocketAddress self, String path, Settings settings, Runnable done) {
+    new WarmUp(loop, path, settings, done).start(self);
   }
 
-  private WarmUp(EventLoop loop, InetSocketAddress self, Settings real, Runnable done) {
+  /** A path that no client can guess: only this process's warm-up is answered without having asked for a class. */
+  static String newPath() {
+    return "/" + UUID.randomUUID();
+  }
+
+  private WarmUp(EventLoop loop, String path, Settings real, Runnable done) {
     this.loop = loop;
+    this.path = path;
     this.done = done;
-    RequestClass type = new RequestClass(PATH.substring(1), Effect.SAFE, DedupScope.ALL, SECOND, SECOND, 0,
+    RequestClass type = new RequestClass(path.substring(1), Effect.SAFE, DedupScope.ALL, SECOND, SECOND, 0,
         2 * SECOND, 1, 0, false);
     Settings settings = new Settings(0, 1, real.zone(), List.of(type), real.tenants(), real.limits(),
         real.contract(), real.prices(), false, real.weightKind(), real.overShareWorth(), real.warmKeys(),
@@ -58,7 +65,7 @@
     pool = new ConnectionPool(loop, SECOND, SECOND, AT_ONCE);
     core = new BalancerCore(settings, new AdaptiveBalancer(settings, 0), clock, loop, pool,
         e -> Log.line("defect of the module while warming up: " + e));
-    side = new ClientSide(loop, settings, core, AT_ONCE);
+    side = new ClientSide(loop, settings, core, AT_ONCE, null);
   }
 
   private void start(InetSocketAddress self) {
@@ -68,7 +75,8 @@
     }
     core.start(new HostList(0, true, hosts), on -> {});
     for (int i = 0; i < AT_ONCE; i++) {
-      clients.add(new EmbeddedChannel(new HttpServerCodec(), new ClientHandler(side)));
+      ClientHandler handler = new ClientHandler(side);
+      clients.add(new EmbeddedChannel(new RequestDecoder(handler), new HttpResponseEncoder(), handler));
     }
     loop.execute(this::round);
   }
@@ -92,8 +100,8 @@
 
   private String request(int number) {
     var tenants = side.settings().tenants();
-    return "GET " + PATH + " HTTP/1.1\r\nHost: warm-up\r\n" + ClientRequest.ID + ": warm-up-" + number
-        + "\r\nX-Service-Class: " + PATH.substring(1) + "\r\nX-Session-Key: " + number % KEYS
+    return "GET " + path + " HTTP/1.1\r\nHost: warm-up\r\n" + ClientRequest.ID + ": warm-up-" + number
+        + "\r\nX-Service-Class: " + path.substring(1) + "\r\nX-Session-Key: " + number % KEYS
         + (tenants.isEmpty() ? "" : "\r\nX-Account: " + tenants.get(number % tenants.size()).name())
         + "\r\n" + ClientRequest.TIME_LEFT + ": 1000\r\nX-Weight-Hint: 1000\r\n\r\n";
   }
