--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -111,6 +112,8 @@
       .thenComparing(r -> r.request.id()));
   private final Map<String, Window> windows = new LinkedHashMap<>(64, 0.75f, true);
   private final Window fleet;
+  private final Window within;
+  private final Window over;
   private final Window busy = new Window(HISTORY, 0);
   private double usualLatency;
   private double nearPart;
@@ -142,6 +145,8 @@
     long longest = settings.classes().stream().mapToLong(RequestClass::aimNanos).max().getAsLong();
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
     fleet = new Window(window, REACH, 0);
+    within = new Window(window, REACH, 0);
+    over = new Window(window, REACH, 0);
     usualLatency = shortestAim / 2.0;
   }
 
@@ -196,7 +201,7 @@
     }
     boolean excess = overQuota(request.tenant());
     String endpoint = request.className() + ' ' + request.tenant() + (excess ? " over" : "");
-    PendingRequest r = new PendingRequest(request, type, now, excess, windowOf(excess ? "over" : "within"),
+    PendingRequest r = new PendingRequest(request, type, now, excess, excess ? over : within,
         windowOf(endpoint), windowOf(endpoint + ' ' + request.key()), load(request.workHintNanos()));
     if (open.size() >= settings.limits().maxOpen() || !admit(r)) {
       out.accept(new Refuse(request.id(), retryAfter()));
@@ -222,14 +227,21 @@
     return over;
   }
 
+  /** Guards the memory where most keys are new: a window that has forgotten all it counted is dropped. */
   private Window windowOf(String name) {
-    Window w = windows.computeIfAbsent(name, k -> new Window(window, name.indexOf(' ') < 0 ? REACH : 1, now));
-    if (windows.size() > MAX_KEYS) {
-      windows.remove(windows.keySet().iterator().next());
+    Window w = windows.computeIfAbsent(name, k -> new Window(window, now));
+    Iterator<Window> idlest = windows.values().iterator();
+    for (Window idle = idlest.next(); idle != w && (idle.empty(now) || windows.size() > MAX_KEYS);
+        idle = idlest.next()) {
+      idlest.remove();
     }
     return w;
   }
 
+  int windowsKept() {
+    return windows.size();
+  }
+
   /** Refuses at the allowed rate. A fleet-wide overload is nobody's key: the worse of the key's and all means
    * counts. Work over a quota is worth less, so its line falls sooner: a tenant throttles itself first. */
   private boolean admit(PendingRequest r) {
--- a/src/main/java/pumicekeel/Window.java
+++ b/src/main/java/pumicekeel/Window.java
@@ -27,6 +27,11 @@
     slot = now / slotNanos;
   }
 
+  /** Whether all that it counted lies further back than it remembers. */
+  boolean empty(long now) {
+    return now / slotNanos - slot >= kept;
+  }
+
   void add(long now, Metric metric, double amount) {
     totals[metric.ordinal()] = total(now, metric) + amount;
     slots[metric.ordinal()][(int) (slot % kept)] += amount;
--- a/src/test/java/pumicekeel/AdmissionTest.java
+++ b/src/test/java/pumicekeel/AdmissionTest.java
@@ -63,6 +63,17 @@
     assertEquals(0, refusedShare(new Driver(Driver.safe()).upstreams(5), 500, 5, 40 * Driver.MS, Status.SERVED));
   }
 
+  @Test
+  void keysThatNeverComeAgainAreForgotten() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    for (int i = 0; i < 5_000; i++) {
+      d.request(d.nextId(), "c", null, "once-" + i, 0);
+      d.serveFor(10 * Driver.MS, Status.SERVED, 5 * Driver.MS);
+    }
+    int kept = ((AdaptiveBalancer) d.module).windowsKept();
+    assertTrue(kept < 300, "a window holds 100 of these keys, and kept are " + kept);
+  }
+
   @Test
   void overloadIsRefusedWithRetryAfter() {
     Driver d = new Driver(Driver.safe()).upstreams(5);
