Module: a reset adds its latency, at least the aim, and not its class's limit

At fault: AdaptiveBalancer.learn charged each reset four or five aims. With 5 to 10 % of attempts reset (connections that break, spoilt answers) the mean alone passes the line's half aim, and what has room is refused.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -521,8 +521,12 @@
       sample(r, (double) (now - r.arrived) / r.type.aimNanos());
       usualLatency += (o.latencyNanos() - usualLatency) * USUAL_STEP;
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT && o.status() != Status.FULL) {
-      if (o.status() != Status.CONNECT_FAILED) {
-        // A failure is charged its class's limit, or quick ones would pull the mean down.
+      if (o.status() == Status.RESET) {
+        // Its latency, but no less than the aim that it missed. More would take connections that break, or
+        // answers that are spoilt, for load, and refuse what has room.
+        sample(r, Math.max(1, (double) (now - r.arrived) / r.type.aimNanos()));
+      } else if (o.status() != Status.CONNECT_FAILED) {
+        // Other failures are charged their class's limit, or quick ones would pull the mean down.
         sample(r, (double) r.type.deadlineNanos() / r.type.aimNanos());
       }
       if (++u.failures >= EJECT_AFTER && u.ejectedUntil <= now) {
--- a/src/test/java/pumicekeel/AdmissionTest.java
+++ b/src/test/java/pumicekeel/AdmissionTest.java
@@ -74,6 +74,16 @@
     assertTrue(kept < 300, "a window holds 100 of these keys, and kept are " + kept);
   }
 
+  @Test
+  void connectionsThatBreakAreNotTakenForLoad() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    for (int i = 0; i < 1_000; i++) {
+      d.request(d.nextId(), "c", null, "k" + i % 50, 0);
+      d.serveFor(20 * Driver.MS, i % 10 == 9 ? Status.RESET : Status.SERVED, 100 * Driver.MS);
+    }
+    assertEquals(0, d.refusals.getOrDefault("r", 0), "a tenth of the answers breaks off, at a quarter of the aim");
+  }
+
   @Test
   void overloadIsRefusedWithRetryAfter() {
     Driver d = new Driver(Driver.safe()).upstreams(5);
