At the limit an idle client connection gives way at once again

At fault: ClientSide.opened stopped accepting at the limit and ClientLimits freed one idle connection each 50 ms, 20 a second; before the client limits each accept freed one.

--- a/src/main/java/pumicekeel/node/ClientSide.java
+++ b/src/main/java/pumicekeel/node/ClientSide.java
@@ -103,11 +103,16 @@
     core.clientGone(id);
   }
 
-  /** With no room left nothing is accepted until {@link ClientLimits} has made some. */
+  /**
+   * At the limit the longest idle connection gives way at once, or a crowd of clients, and the front's question
+   * whether this balancer is up, would wait in line; with none nothing is accepted until {@link ClientLimits} has
+   * made room.
+   */
   private void opened(ClientHandler handler) {
     connections.add(handler);
     if (connections.size() >= most) {
-      listener.config().setAutoRead(false);
+      connections.stream().filter(c -> c != handler && c.idle() && !c.neverAsked()).findFirst()
+          .ifPresentOrElse(ClientHandler::close, () -> listener.config().setAutoRead(false));
     }
   }
 
