An idle connection that is closing makes room once

Seen: 381 of 384 descriptors in the incident. At fault: until channelInactive a closing connection still counted as idle, and a burst of accepts chose it again.

--- a/src/main/java/pumicekeel/node/ClientHandler.java
+++ b/src/main/java/pumicekeel/node/ClientHandler.java
@@ -117,6 +117,8 @@
 
   /** Closes once all that was written has gone out: an answer must not be cut short. */
   void close() {
+    // Chosen once: an idle connection whose close is under way makes no more room.
+    discarding = true;
     ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
 
