The balancer's own delay is neither upstream latency nor in-flight room

Checked with a probe (a line each 250 ms): the loop 50 to 165 ms late in the first 1.7 s (0.51 of 0.5 core used, connects 30 to 136 ms of which the wire has 1), then 3 ms; mean 0.25 to 0.52 aims, later 0.16; no upstream silent, no panic, one ejected for its errors. Of the upstreams that a held request found shut, nearly all were shut by room(): 4 to 13 in flight each, 10 to 27 on the same upstreams 4 s later. Ruled out: few samples (200 and more in the window), descriptors, client limits (nothing evicted, accepting never stopped), the lists. At fault: AdaptiveBalancer.room (answers a second times an upstream's latency wanted, but in-flight requests also wait in our loop, so a slow loop fills it and then sends less, which keeps it small) and learn (now - arrived), fed by BalancerCore.ended with the time from the decision, connect and unread wait with it. Mend: LoopLag tells the loop's lag, an attempt's latency runs from its write to the answer's read less the mean wait in the socket; what is left of the time out is the balancer's own, kept out of the line and added to the room.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -59,6 +59,8 @@
    * below the least, or no upstream could show that it is idle. */
   private static final double ROOM_PART = 0.36;
   private static final int ROOM_LEAST = 2;
+  /** Time out of a balancer's hands that is not the attempt's latency counts from so many ticks on. */
+  private static final int OURS_TICKS = 3;
   /** A request without an upstream is held for this part of its aim, then refused: still early. And held ones
    * tried in vain after an outcome: bounds the work where nothing has room. */
   private static final double HOLD_PART = 0.3;
@@ -351,15 +353,17 @@
     return Math.min(Math.max(1, Math.ceil((1 + SLACK) * (readyLoad + 1) / ready)), room(u));
   }
 
-  /** Little's law: answers a second times the latency wanted. Guards against bursts that wait in a queue past
-   * their aim; no bound before enough answers, or a restarted balancer would starve itself. */
+  /** Little's law: answers a second times the latency wanted and the time that they spend in this balancer.
+   * Guards against bursts that wait in a queue past their aim; no bound before enough answers, or a restarted
+   * balancer would starve itself; nor without its own time, or a slow balancer would. */
   private double room(Upstream u) {
     if (u.firstServed == 0
         || now - u.firstServed < window / 4 && u.window.total(now, Metric.SAMPLES) < ENOUGH) {
       return Double.MAX_VALUE;
     }
     long served = Math.min(window / 2, Math.max(SWEEP, now - u.firstServed));
-    return Math.max(ROOM_LEAST, ROOM_PART * u.window.total(now, Metric.AIMS) * SECOND / served);
+    return Math.max(ROOM_LEAST,
+        (ROOM_PART * u.window.total(now, Metric.AIMS) * SECOND + u.window.total(now, Metric.OURS)) / served);
   }
 
   /** Nothing heard for far longer than its answers usually lie apart: frozen or dead, before a time-out. */
@@ -511,6 +515,7 @@
   private void learn(PendingRequest r, Attempt a, Outcome o) {
     Upstream u = a.upstream;
     u.onTrial = false;
+    long ours = ours(a, o);
     if (o.status() == Status.SERVED) {
       u.failures = 0;
       u.ejections = 0;
@@ -518,7 +523,8 @@
       u.window.add(now, Metric.AIMS, r.load * r.type.aimNanos() / SECOND);
       u.window.add(now, Metric.SAMPLES, 1);
       u.window.add(now, Metric.SUM, r.load * o.latencyNanos());
-      sample(r, (double) (now - r.arrived) / r.type.aimNanos());
+      u.window.add(now, Metric.OURS, r.load * ours);
+      sample(r, (double) (now - r.arrived - ours) / r.type.aimNanos());
       usualLatency += (o.latencyNanos() - usualLatency) * USUAL_STEP;
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT && o.status() != Status.FULL) {
       if (o.status() == Status.RESET) {
@@ -536,6 +542,13 @@
     }
   }
 
+  /** What an attempt spent in this balancer, beside its latency: no upstream's work, so neither the line nor
+   * the room may take it for that. A few ticks are the clock's own rounding. */
+  private long ours(Attempt a, Outcome o) {
+    long rest = now - a.sentAt - o.latencyNanos();
+    return rest <= OURS_TICKS * settings.tickNanos() ? 0 : rest;
+  }
+
   private void sample(PendingRequest r, double part) {
     count(r, Metric.SAMPLES, 1);
     count(r, Metric.SUM, part);
--- a/src/main/java/pumicekeel/Window.java
+++ b/src/main/java/pumicekeel/Window.java
@@ -3,8 +3,9 @@
 /** Counts and sums over the last window, and further back where it holds too few samples. */
 final class Window {
 
-  /** What a window counts: offers, admissions, samples, the sum of their latencies, the sum of their aims. */
-  enum Metric { OFFERED, ADMITTED, SAMPLES, SUM, AIMS }
+  /** What a window counts: offers, admissions, samples, the sum of their latencies, the sum of their aims,
+   * the time that they spent in the balancer. */
+  enum Metric { OFFERED, ADMITTED, SAMPLES, SUM, AIMS, OURS }
 
   /** A window forgets in steps of a twelfth. */
   private static final int SLOTS = 12;
--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -41,6 +41,7 @@
   private final Balancer module;
   private final Clock clock;
   private final EventLoop loop;
+  private final LoopLag lag;
   private final Consumer<RuntimeException> defect;
   private final Map<String, OpenRequest> table = new HashMap<>();
   private final UpstreamTable upstreams;
@@ -50,12 +51,13 @@
   private boolean handling;
   private long endsAt = Long.MAX_VALUE;
 
-  BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, ConnectionPool pool,
-      Consumer<RuntimeException> defect) {
+  BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, LoopLag lag,
+      ConnectionPool pool, Consumer<RuntimeException> defect) {
     this.settings = settings;
     this.module = module;
     this.clock = clock;
     this.loop = loop;
+    this.lag = lag;
     upstreams = new UpstreamTable(pool);
     this.defect = defect;
   }
@@ -235,7 +237,7 @@
       r.client.served(answer);
     }
     over.add(r);
-    tell(new Outcome(r.request.id(), attempt.number, attempt.upstream, status, clock.now() - attempt.decidedAt,
-        r.ended, Map.of()));
+    tell(new Outcome(r.request.id(), attempt.number, attempt.upstream, status,
+        attempt.latencyNanos(clock.now() - lag.waitNanos()), r.ended, Map.of()));
   }
 }
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -28,6 +28,7 @@
 
   private final EventLoop loop =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final LoopLag lag = new LoopLag(loop);
   private final Configuration configuration;
   private final Runnable crash;
   private final BalancerCore core;
@@ -44,8 +45,8 @@
     var settings = configuration.settings();
     ConnectionPool pool = new ConnectionPool(loop, settings.limits().connectTimeoutNanos(),
         settings.limits().connectionIdleNanos(), (int) (configuration.sockets() * UPSTREAM_SHARE));
-    core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), new Clock(), loop, pool,
-        this::defect);
+    core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), new Clock(), loop, lag,
+        pool, this::defect);
     clients = new ClientSide(loop, settings, core, (int) (configuration.sockets() * CLIENT_SHARE),
         warmUpPath);
     discovery = new Discovery(loop, configuration.discovery(), configuration.known().index(),
@@ -88,7 +89,7 @@
     InetSocketAddress address = clients.listen(configuration.listen());
     loop.execute(() -> {
       core.start(configuration.known(), discovery::watch);
-      WarmUp.run(loop, address, warmUpPath, configuration.settings(), () -> {
+      WarmUp.run(loop, lag, address, warmUpPath, configuration.settings(), () -> {
         clients.setReady();
         Log.line(configuration.name() + " serves at " + address);
         ready.countDown();
--- a/src/main/java/pumicekeel/node/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/node/UpstreamAttempt.java
@@ -109,6 +109,14 @@
     return sentAt;
   }
 
+  /**
+   * From the first byte's writing to the time given, when the answer came; of one that was not sent, from the decision.
+   * What passes before the writing is a connect, which a slow loop makes long, and no upstream's work.
+   */
+  long latencyNanos(long until) {
+    return Math.max(0, until - (sent ? sentAt : decidedAt));
+  }
+
   /** Ends the attempt once; one that ends otherwise than by an answer takes its connection with it. */
   void end(Status how, Answer answer) {
     if (status != null) {
--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -44,8 +44,8 @@
   private int sent;
 
   /** Runs on the loop and calls {@code done} there, after so many requests or so long. */
-  static void run(EventLoop loop, InetSocketAddress self, String path, Settings settings, Runnable done) {
-    new WarmUp(loop, path, settings, done).start(self);
+  static void run(EventLoop loop, LoopLag lag, InetSocketAddress self, String path, Settings settings, Runnable done) {
+    new WarmUp(loop, lag, path, settings, done).start(self);
   }
 
   /** A path that no client can guess: only this process's warm-up is answered without having asked for a class. */
@@ -53,7 +53,7 @@
     return "/" + UUID.randomUUID();
   }
 
-  private WarmUp(EventLoop loop, String path, Settings real, Runnable done) {
+  private WarmUp(EventLoop loop, LoopLag lag, String path, Settings real, Runnable done) {
     this.loop = loop;
     this.path = path;
     this.done = done;
@@ -63,7 +63,7 @@
         real.contract(), real.prices(), false, real.weightKind(), real.overShareWorth(), real.warmKeys(),
         real.tickNanos());
     pool = new ConnectionPool(loop, SECOND, SECOND, AT_ONCE);
-    core = new BalancerCore(settings, new AdaptiveBalancer(settings, 0), clock, loop, pool,
+    core = new BalancerCore(settings, new AdaptiveBalancer(settings, 0), clock, loop, lag, pool,
         e -> Log.line("defect of the module while warming up: " + e));
     side = new ClientSide(loop, settings, core, AT_ONCE, null);
   }
--- a/src/test/java/pumicekeel/AdmissionTest.java
+++ b/src/test/java/pumicekeel/AdmissionTest.java
@@ -9,6 +9,7 @@
 import pumicekeel.Balancer.Tenant;
 import pumicekeel.Window.Metric;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** The straight line, its window and what it is fed with. */
@@ -63,6 +64,16 @@
     assertEquals(0, refusedShare(new Driver(Driver.safe()).upstreams(5), 500, 5, 40 * Driver.MS, Status.SERVED));
   }
 
+  @Test
+  void ownDelayOfTheBalancerIsNoOverload() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    for (int i = 0; i < 500; i++) {
+      d.request(d.nextId(), "c", null, "k" + i % 50, 0);
+      d.serveFor(8 * Driver.MS, Status.SERVED, 320 * Driver.MS, 40 * Driver.MS);
+    }
+    assertEquals(Map.of(), d.refusals, "40 ms at an upstream, 280 ms in this balancer");
+  }
+
   @Test
   void keysThatNeverComeAgainAreForgotten() {
     Driver d = new Driver(Driver.safe()).upstreams(5);
--- a/src/test/java/pumicekeel/Driver.java
+++ b/src/test/java/pumicekeel/Driver.java
@@ -123,11 +123,16 @@
 
   /** Lets time pass with upstreams that end every attempt after the latency. */
   void serveFor(long nanos, Status status, long latencyNanos) {
+    serveFor(nanos, status, latencyNanos, Long.MAX_VALUE);
+  }
+
+  /** The same with so much of the time at most spent at the upstream, and the rest in the balancer. */
+  void serveFor(long nanos, Status status, long outNanos, long latencyNanos) {
     for (long end = now + nanos; now < end; ) {
       pass(Math.min(5 * MS, end - now));
       for (Sent s : List.copyOf(outstanding)) {
-        if (now - s.at() >= latencyNanos && outstanding.contains(s)) {
-          end(s, status, now - s.at());
+        if (now - s.at() >= outNanos && outstanding.contains(s)) {
+          end(s, status, Math.min(latencyNanos, now - s.at()));
         }
       }
     }
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -73,7 +74,7 @@
       events.add(event);
       module.handle(event, out);
       handling = false;
-    }, new Clock(), loop, pool, defect -> {
+    }, new Clock(), loop, new LoopLag(loop), pool, defect -> {
       core.answerAll();
       defects.add(defect);
     });
@@ -82,10 +83,19 @@
   }
 
   private void take(String id, String type, long leftMillis) throws Exception {
+    take(id, type, leftMillis, () -> {});
+  }
+
+  /** Takes a request and does something else on the loop before anything more is read. */
+  private void take(String id, String type, long leftMillis, Runnable then) throws Exception {
     var type1 = settings.classes().stream().filter(c -> c.name().equals(type)).findFirst().orElseThrow();
     ClientRequest request = new ClientRequest(id, type1, "acme", "k", leftMillis * 1_000_000, 0, false,
         io.netty.handler.codec.http.HttpMethod.GET, "/" + type, "h", null, null, new byte[0]);
-    assertTrue(loop.submit(() -> core.take(request, client)).get());
+    assertTrue(loop.submit(() -> {
+      boolean taken = core.take(request, client);
+      then.run();
+      return taken;
+    }).get());
   }
 
   private String answer() throws InterruptedException {
@@ -153,6 +163,23 @@
     }
   }
 
+  @Test
+  void pauseOfTheLoopIsNotTheUpstreamsLatency() throws Exception {
+    long pause = 2_000_000_000L;
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      start(BalancerCoreTest::sendOnRequest, upstream);
+      take("1", "look", 15_000);
+      outcome();
+      take("2", "look", 15_000, () -> {
+        for (long end = System.nanoTime() + pause; System.nanoTime() < end;) {
+          LockSupport.parkNanos(end - System.nanoTime());
+        }
+      });
+      long latency = outcome().latencyNanos();
+      assertTrue(latency < pause * 3 / 4, "answered at once, read " + pause + " ns later: " + latency);
+    }
+  }
+
   @Test
   void exceptionOfTheModuleAnswersAllThatIsOpen() throws Exception {
     start((event, out) -> {
