Module: an error adds its latency, at least what is critical, and not its class's limit

At fault: AdaptiveBalancer.learn charged an error four to five aims. DESIGN adds its latency; at least MAX_VALUE keeps quick ones from pulling the mean down. The test refuses 96 of 1,000 without the change.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -536,12 +536,13 @@
       // A crash breaks them too, but then the next connects are refused, which counts.
       sample(r, (double) (now - r.arrived - ours) / r.type.aimNanos());
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT && o.status() != Status.FULL) {
-      if (o.status() == Status.RESET) {
-        // Its latency, but no less than the aim that it missed. More would take connections that break, or
-        // answers that are spoilt, for load, and refuse what has room.
-        sample(r, Math.max(1, (double) (now - r.arrived) / r.type.aimNanos()));
+      if (o.status() == Status.RESET || o.status() == Status.ERROR) {
+        // Its latency, but no less than the aim that it missed, and for an error than what is critical. More
+        // would take connections that break, spoilt answers, or one upstream's errors for load.
+        double least = o.status() == Status.RESET ? 1 : MAX_VALUE;
+        sample(r, Math.max(least, (double) (now - r.arrived) / r.type.aimNanos()));
       } else if (o.status() != Status.CONNECT_FAILED) {
-        // Other failures are charged their class's limit, or quick ones would pull the mean down.
+        // A time-out is charged its class's limit.
         sample(r, (double) r.type.deadlineNanos() / r.type.aimNanos());
       }
       if (++u.failures >= EJECT_AFTER && u.ejectedUntil <= now) {
--- a/src/test/java/pumicekeel/AdmissionTest.java
+++ b/src/test/java/pumicekeel/AdmissionTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** The straight line, its window and what it is fed with. */
 class AdmissionTest {
@@ -85,14 +87,15 @@
     assertTrue(kept < 300, "a window holds 100 of these keys, and kept are " + kept);
   }
 
-  @Test
-  void connectionsThatBreakAreNotTakenForLoad() {
+  @ParameterizedTest
+  @EnumSource(names = {"RESET", "ERROR"})
+  void connectionsThatBreakAndErrorsAreNotTakenForLoad(Status failure) {
     Driver d = new Driver(Driver.safe()).upstreams(5);
     for (int i = 0; i < 1_000; i++) {
       d.request(d.nextId(), "c", null, "k" + i % 50, 0);
-      d.serveFor(20 * Driver.MS, i % 10 == 9 ? Status.RESET : Status.SERVED, 100 * Driver.MS);
+      d.serveFor(20 * Driver.MS, i % 10 == 9 ? failure : Status.SERVED, 100 * Driver.MS);
     }
-    assertEquals(0, d.refusals.getOrDefault("r", 0), "a tenth of the answers breaks off, at a quarter of the aim");
+    assertEquals(0, d.refusals.getOrDefault("r", 0), "a tenth of the attempts fails, at a quarter of the aim");
   }
 
   @Test
