--- a/src/main/java/pumicekeel/call/Answer.java
+++ b/src/main/java/pumicekeel/call/Answer.java
@@ -1,8 +1,18 @@
 package pumicekeel.call;
 
-/** The body of an upstream's answer, and its type or null. */
-public record Answer(byte[] body, String contentType) {
+/**
+ * The body of an upstream's answer, and its type or null. {@code error}: the upstream's own last word is an error object
+ * of its application, which is passed on as one.
+ */
+public record Answer(byte[] body, String contentType, boolean error) {
 
   /** The protocol's limit; a body beyond it is malformed. */
   public static final int MAX_BODY = 64 << 10;
+  /** The type of an answer that is JSON. */
+  public static final String JSON = "application/json";
+
+  /** One that is what was asked for. */
+  public Answer(byte[] body, String contentType) {
+    this(body, contentType, false);
+  }
 }
--- a/src/main/java/pumicekeel/call/ClientRequest.java
+++ b/src/main/java/pumicekeel/call/ClientRequest.java
@@ -11,8 +11,7 @@
 
 /** A client's request, checked against the protocol and the settings. */
 public record ClientRequest(String id, RequestClass type, String tenant, String key, long leftNanos, long hintNanos,
-    boolean retry, HttpMethod method, String uri, String host, String idempotencyKey, String contentType,
-    byte[] body) {
+    boolean retry, Payload payload, String idempotencyKey) {
 
   public static final String ID = "X-Correlation-Id";
   public static final String TIME_LEFT = "X-Time-Left-Ms";
@@ -50,16 +49,13 @@
       }
     }
     String name = needed(h, "X-Service-Class");
-    RequestClass type = settings.classes().stream().filter(c -> c.name().equals(name)).findFirst()
-        .orElseThrow(() -> new Bad(400, "unknown class"));
+    RequestClass type = classOf(name, settings);
     String path = head.uri().split("\\?", 2)[0];
     if (!path.equals("/" + name) && !path.startsWith("/" + name + "/")) {
       throw new Bad(400, "the path does not begin with the class");
     }
     String tenant = h.get("X-Account");
-    if (!settings.tenants().isEmpty() && settings.tenants().stream().noneMatch(t -> t.name().equals(tenant))) {
-      throw new Bad(400, "unknown tenant");
-    }
+    checkTenant(tenant, settings);
     if (!head.method().equals(type.effect() == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
       throw new Bad(405, "wrong method for the class");
     }
@@ -70,20 +66,36 @@
     long left = number(TIME_LEFT, needed(h, TIME_LEFT)) * 1_000_000L;
     long hint = number("X-Weight-Hint", h.get("X-Weight-Hint", "0")) * 1_000L;
     return new ClientRequest(needed(h, ID), type, tenant, h.get("X-Session-Key"),
-        Math.min(left, type.deadlineNanos()), hint, "1".equals(h.get("X-Repeat")), head.method(), head.uri(),
-        h.get(HttpHeaderNames.HOST, ""), idempotencyKey, h.get(HttpHeaderNames.CONTENT_TYPE), body);
+        Math.min(left, type.deadlineNanos()), hint, "1".equals(h.get("X-Repeat")), new Payload.Http(head.method(),
+            head.uri(), h.get(HttpHeaderNames.HOST, ""), h.get(HttpHeaderNames.CONTENT_TYPE), body), idempotencyKey);
+  }
+
+  /** The class of this name. */
+  public static RequestClass classOf(String name, Settings settings) throws Bad {
+    for (RequestClass c : settings.classes()) {
+      if (c.name().equals(name)) {
+        return c;
+      }
+    }
+    throw new Bad(400, "unknown class");
+  }
+
+  /** Turns a tenant away that the settings don't know, where they know any. */
+  public static void checkTenant(String tenant, Settings settings) throws Bad {
+    if (!settings.tenants().isEmpty() && settings.tenants().stream().noneMatch(t -> t.name().equals(tenant))) {
+      throw new Bad(400, "unknown tenant");
+    }
   }
 
   /** The same request with less of its time left, at least none. */
   public ClientRequest withLeft(long nanos) {
-    return new ClientRequest(id, type, tenant, key, Math.max(0, nanos), hintNanos, retry, method, uri, host,
-        idempotencyKey, contentType, body);
+    return new ClientRequest(id, type, tenant, key, Math.max(0, nanos), hintNanos, retry, payload,
+        idempotencyKey);
   }
 
   /** The same request as another pool has its class. */
   public ClientRequest withType(RequestClass other) {
-    return new ClientRequest(id, other, tenant, key, leftNanos, hintNanos, retry, method, uri, host, idempotencyKey,
-        contentType, body);
+    return new ClientRequest(id, other, tenant, key, leftNanos, hintNanos, retry, payload, idempotencyKey);
   }
 
   private static String needed(HttpHeaders headers, String name) throws Bad {
--- a/src/main/java/pumicekeel/config/Operator.java
+++ b/src/main/java/pumicekeel/config/Operator.java
@@ -11,8 +11,10 @@
 import pumicekeel.Balancer.Settings;
 import pumicekeel.Balancer.Tenant;
 import pumicekeel.discovery.HostList;
+import pumicekeel.front.jsonrpc.CallSettings;
 import pumicekeel.journal.Durability;
 import pumicekeel.route.Route;
+import pumicekeel.upstream.jsonrpc.ServerSettings;
 
 /** An operator file that has passed its checks: one generation of listeners, sources, pools and routes. */
 public record Operator(Process process, Map<String, Listener> listeners, Map<String, Source> sources,
@@ -28,8 +30,9 @@
   public record Journal(Path directory, Durability durability, boolean refusesInTrouble, long maxWaitNanos,
       long segmentBytes, long keepBytes, long keepMillis) {}
 
-  /** A listener beside the platform's; {@code maxConnections} is null for an even part of what is left. */
-  public record Listener(String name, InetSocketAddress address, Long maxConnections) {}
+  /** A listener beside the platform's; {@code maxConnections} is null for an even part of what is left,
+   * {@code rpc} where it speaks HTTP. */
+  public record Listener(String name, InetSocketAddress address, Long maxConnections, CallSettings rpc) {}
 
   /** Where lists of upstreams come from. */
   public sealed interface Source permits Platform, Watched, Fixed {}
@@ -106,9 +109,10 @@
    * @param connectionsPerUpstream connections to one address by all pools of the process together that this pool
    *     opens up to; 0 for no cap
    * @param journal which of its requests go on record, where there is a journal
+   * @param rpc how its upstreams speak JSON-RPC; null where they speak HTTP
    */
   public record Pool(String name, String source, Select select, Room open, Room sockets, Room body,
-      int connectionsPerUpstream, Recorded journal, Overrides overrides) {}
+      int connectionsPerUpstream, Recorded journal, Overrides overrides, ServerSettings rpc) {}
 
   /** Which keyed and unsafe classes of a pool go on record: all but those that are off, or only those named. */
   public record Recorded(boolean on, List<String> only) {
--- a/src/main/java/pumicekeel/config/OperatorReader.java
+++ b/src/main/java/pumicekeel/config/OperatorReader.java
@@ -28,6 +28,7 @@
 import pumicekeel.config.Operator.Source;
 import pumicekeel.config.Operator.Watched;
 import pumicekeel.discovery.HostList;
+import pumicekeel.front.jsonrpc.CallSettings;
 import pumicekeel.journal.Durability;
 import pumicekeel.route.Route;
 import pumicekeel.runtime.Addresses;
@@ -113,7 +114,7 @@
   private Operator operator(Section root) {
     Operator.Process process = process(root.table("process"));
     Map<String, Source> sources = sources(root);
-    Map<String, Listener> listeners = listeners(root);
+    Map<String, Listener> listeners = listeners(root, new RpcReader(faults));
     Map<String, Pool> pools = pools(root, sources);
     if (pools.isEmpty()) {
       root.fault("pools", "expected at least one pool, as [pools.NAME]");
@@ -165,14 +166,16 @@
         segmentMib << 20, keepMib << 20, (hours == null ? 24 * 30 : hours) * 3_600_000L);
   }
 
-  private Map<String, Listener> listeners(Section root) {
+  private Map<String, Listener> listeners(Section root, RpcReader rpc) {
     Map<String, Listener> out = new LinkedHashMap<>();
     Map<InetSocketAddress, String> taken = new LinkedHashMap<>();
     Map<String, Section> named = root.named("listeners");
     bounded(root, "listeners", named.size(), MOST_LISTENERS);
+    rpc.methods(root, named);
     named.forEach((name, s) -> {
       InetSocketAddress address = address(s, "address");
       Long most = s.integer("max-connections", 1, MOST_ROOM);
+      CallSettings calls = rpc.listener(name, s);
       s.done();
       if (name.equals(Operator.PLATFORM)) {
         root.fault("listeners", "expected another name: \"platform\" is the listener that PROXY_LISTEN names");
@@ -180,7 +183,7 @@
       if (address != null && address.getPort() != 0 && taken.putIfAbsent(address, name) != null) {
         s.fault("address", "expected an address of its own, listener " + taken.get(address) + " has this one");
       }
-      out.put(name, new Listener(name, address, most));
+      out.put(name, new Listener(name, address, most, calls));
     });
     return out;
   }
@@ -270,7 +273,7 @@
         room(s, "sockets", 1), room(s, "body-memory-kib", 1 << 10),
         perUpstream == null ? 0 : perUpstream.intValue(), recorded(s),
         new Overrides(s.has("classes") ? classes(s) : null, s.has("tenants") ? tenants(s) : null,
-            limits(s.table("limits")), contract(s.table("contract"))));
+            limits(s.table("limits")), contract(s.table("contract"))), RpcReader.pool(s));
     s.done();
     checkRecorded(s, pool);
     return pool;
--- /dev/null
+++ b/src/main/java/pumicekeel/config/RpcReader.java
@@ -0,0 +1,233 @@
+package pumicekeel.config;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import pumicekeel.front.jsonrpc.BatchMode;
+import pumicekeel.front.jsonrpc.CallSettings;
+import pumicekeel.front.jsonrpc.MethodMapping;
+import pumicekeel.front.jsonrpc.MethodMapping.Part;
+import pumicekeel.jsonrpc.Framing;
+import pumicekeel.jsonrpc.Limits;
+import pumicekeel.jsonrpc.Pointer;
+import pumicekeel.route.HostName;
+import pumicekeel.upstream.jsonrpc.ServerSettings;
+
+/** Reads what an operator file says of JSON-RPC: listeners, methods, and pools whose servers speak it. */
+final class RpcReader {
+
+  /** Looked up by name for each call; far above any known interface. */
+  private static final int MOST_METHODS = 1_000;
+  /** What a call's host is where no setting says one: routes by host and HTTP upstreams want to see something. */
+  private static final String DEFAULT_HOST = "localhost";
+  private static final Map<String, Boolean> PROTOCOLS = Map.of("http", false, "json-rpc", true);
+  private static final Map<String, Framing> SERVER_FRAMINGS = Map.of("newline", Framing.NEWLINE, "values",
+      Framing.VALUES, "content-length", Framing.CONTENT_LENGTH);
+  private static final Map<Part, String> KEYS = new EnumMap<>(Map.of(Part.TENANT, "tenant", Part.SESSION_KEY,
+      "session-key", Part.IDEMPOTENCY_KEY, "idempotency-key", Part.TIME_LEFT_MS, "time-left-ms", Part.WORK_HINT_US,
+      "work-hint-us"));
+
+  private final List<Fault> faults;
+  private final Map<String, Map<String, MethodMapping>> methods = new HashMap<>();
+
+  RpcReader(List<Fault> faults) {
+    this.faults = faults;
+  }
+
+  // ---- Methods ------------------------------------------------------------------------------------------
+
+  /** Reads {@code [[methods]]}, each for one listener or for all that speak JSON-RPC. */
+  void methods(Section root, Map<String, Section> listeners) {
+    List<String> speaking = listeners.entrySet().stream().filter(e -> "json-rpc".equals(e.getValue()
+        .text("protocol", null))).map(Map.Entry::getKey).toList();
+    speaking.forEach(name -> methods.put(name, new LinkedHashMap<>()));
+    List<Section> entries = root.tables("methods");
+    if (entries.size() > MOST_METHODS) {
+      root.fault("methods", "expected at most " + MOST_METHODS + ", got " + entries.size());
+      return;
+    }
+    for (Section s : entries) {
+      method(s, speaking);
+    }
+  }
+
+  private void method(Section s, List<String> speaking) {
+    String listener = s.text("listener", null);
+    String name = s.needed("name", "the method's name as clients call it");
+    String className = s.needed("class", "the class that the method's calls are of");
+    Map<Part, MethodMapping.Source> sources = new EnumMap<>(Part.class);
+    KEYS.forEach((part, key) -> {
+      MethodMapping.Source source = source(s, key, part);
+      if (source != null) {
+        sources.put(part, source);
+      }
+    });
+    List<MethodMapping.Piece> path = path(s, className);
+    String host = HostName.of(s.text("host", DEFAULT_HOST));
+    if (host == null) {
+      s.fault("host", "expected a host name");
+    }
+    s.done();
+    if (listener != null && !speaking.contains(listener)) {
+      s.fault("listener", "expected a listener of this file with protocol = \"json-rpc\", got \"" + listener + "\"");
+    } else if (speaking.isEmpty()) {
+      s.fault("name", "expected a listener with protocol = \"json-rpc\" for it");
+    }
+    if (name != null && (name.length() > Limits.MOST_METHOD || name.startsWith("rpc."))) {
+      s.fault("name", "expected at most " + Limits.MOST_METHOD + " characters that don't begin with rpc., got \"" + name
+          + "\"");
+    }
+    if (name == null || className == null) {
+      return;
+    }
+    MethodMapping mapping = new MethodMapping(name, className, host, sources, path);
+    for (String at : listener == null ? speaking : List.of(listener)) {
+      if (methods.containsKey(at) && methods.get(at).putIfAbsent(name, mapping) != null) {
+        s.fault("name", "expected a name of its own at listener " + at + ", \"" + name + "\" is taken");
+      }
+    }
+  }
+
+  /** A constant, or {@code { pointer = "/a/b", optional = true }}. */
+  private MethodMapping.Source source(Section s, String key, Part part) {
+    boolean number = part == Part.TIME_LEFT_MS || part == Part.WORK_HINT_US;
+    if (!s.has(key)) {
+      return null;
+    }
+    if (s.is(key, org.tomlj.TomlTable.class)) {
+      Section at = s.table(key);
+      Pointer pointer = pointer(at, at.needed("pointer", "a JSON Pointer into the params"));
+      Boolean optional = at.bool("optional");
+      at.done();
+      return pointer == null ? null : new MethodMapping.At(pointer, Boolean.TRUE.equals(optional));
+    }
+    if (number) {
+      Long value = s.integer(key, 0, 1_000_000_000L);
+      return value == null ? null : new MethodMapping.Constant(Long.toString(value));
+    }
+    String text = s.text(key, null);
+    return text == null ? null : new MethodMapping.Constant(text);
+  }
+
+  private static Pointer pointer(Section s, String text) {
+    try {
+      return text == null ? null : Pointer.of(text);
+    } catch (IllegalArgumentException e) {
+      s.fault("pointer", "expected " + e.getMessage() + ", got \"" + text + "\"");
+      return null;
+    }
+  }
+
+  /** {@code /class/{/pointer}}: where a call goes as an HTTP request. */
+  private static List<MethodMapping.Piece> path(Section s, String className) {
+    String text = s.text("path", null);
+    List<MethodMapping.Piece> out = new ArrayList<>();
+    if (text == null) {
+      return out;
+    }
+    String first = "/" + className;
+    if (!text.equals(first) && !text.startsWith(first + "/") && !text.startsWith(first + "?")) {
+      s.fault("path", "expected a path that begins with its class, " + first + ", got \"" + text + "\"");
+    }
+    int at = 0;
+    for (int open = text.indexOf('{'); open >= 0; open = text.indexOf('{', at)) {
+      int close = text.indexOf('}', open);
+      if (close < 0) {
+        s.fault("path", "expected } behind each {, got \"" + text + "\"");
+        return out;
+      }
+      literal(s, text.substring(at, open), out);
+      try {
+        out.add(new MethodMapping.Value(Pointer.of(text.substring(open + 1, close))));
+      } catch (IllegalArgumentException e) {
+        s.fault("path", "expected " + e.getMessage() + " in braces, got \"" + text + "\"");
+      }
+      at = close + 1;
+    }
+    literal(s, text.substring(at), out);
+    return out;
+  }
+
+  private static void literal(Section s, String text, List<MethodMapping.Piece> out) {
+    if (!text.matches("[A-Za-z0-9._~!$&'()*+,;=:@/?%-]*")) {
+      s.fault("path", "expected characters that a URL may have, got \"" + text + "\"");
+    } else if (!text.isEmpty()) {
+      out.add(new MethodMapping.Text(text));
+    }
+  }
+
+  // ---- Listeners ----------------------------------------------------------------------------------------
+
+  /** What a listener says of its protocol; null where it is HTTP. */
+  CallSettings listener(String name, Section s) {
+    Boolean speaks = s.word("protocol", PROTOCOLS);
+    Section own = s.table("json-rpc");
+    if (!Boolean.TRUE.equals(speaks)) {
+      if (own != null) {
+        s.fault("json-rpc", "expected only with protocol = \"json-rpc\"");
+      }
+      return null;
+    }
+    Map<String, MethodMapping> known = methods.getOrDefault(name, Map.of());
+    if (known.isEmpty()) {
+      s.fault("protocol", "expected at least one method for it, as [[methods]]");
+    }
+    Section r = own == null ? new Section(org.tomlj.Toml.parse(""), "json-rpc", s.line(), faults) : own;
+    Framing framing = r.word("framing", Framing.NAMES);
+    BatchMode batch = r.word("batch-answers", BatchMode.NAMES);
+    CallSettings settings = new CallSettings(framing == null ? Framing.DETECT : framing,
+        batch == null ? BatchMode.IN_TIME : batch, new Limits((int) or(r.integer("max-message-kib", 1, 4_096), 256) << 10,
+            (int) or(r.integer("max-depth", 3, Limits.MOST_DEPTH), 32), (int) or(r.integer("max-batch", 1, 1_000), 100)),
+        (int) or(r.integer("max-open-calls", 1, 10_000), 64), or(r.integer("idle-ms", 100, 86_400_000), 300_000)
+            * 1_000_000L, Map.copyOf(known));
+    r.done();
+    return settings;
+  }
+
+  private static long or(Long value, long absent) {
+    return value == null ? absent : value;
+  }
+
+  // ---- Pools --------------------------------------------------------------------------------------------
+
+  /** How a pool's upstreams speak JSON-RPC; null where they speak HTTP. */
+  static ServerSettings pool(Section s) {
+    Boolean speaks = s.word("protocol", PROTOCOLS);
+    Section r = s.table("json-rpc");
+    if (!Boolean.TRUE.equals(speaks)) {
+      if (r != null) {
+        s.fault("json-rpc", "expected only with protocol = \"json-rpc\"");
+      }
+      return null;
+    }
+    if (r == null) {
+      return new ServerSettings(Framing.NEWLINE, 32, Set.of(), Set.of(), Set.of(), Map.of(), "idempotencyKey");
+    }
+    Framing framing = r.word("framing", SERVER_FRAMINGS);
+    ServerSettings settings = new ServerSettings(framing == null ? Framing.NEWLINE : framing,
+        (int) or(r.integer("calls-per-connection", 1, 10_000), 32), codes(r, "not-run-codes"), codes(r, "failure-codes"),
+        codes(r, "answer-codes"), Map.copyOf(new TreeMap<>(r.textTable("methods"))),
+        r.text("key-member", "idempotencyKey"));
+    r.done();
+    Set<Integer> seen = new HashSet<>();
+    for (Set<Integer> codes : List.of(settings.notRunCodes(), settings.failureCodes(), settings.answerCodes())) {
+      for (int code : codes) {
+        if (!seen.add(code)) {
+          s.fault("json-rpc", "expected each code under one heading, got " + code + " under two");
+        }
+      }
+    }
+    return settings;
+  }
+
+  private static Set<Integer> codes(Section s, String key) {
+    List<Integer> codes = s.integers(key, Integer.MIN_VALUE, Integer.MAX_VALUE);
+    return codes == null ? Set.of() : Set.copyOf(codes);
+  }
+}
--- a/src/main/java/pumicekeel/config/Section.java
+++ b/src/main/java/pumicekeel/config/Section.java
@@ -161,6 +161,27 @@
     return out;
   }
 
+  /** An array of whole numbers; null where it is absent. */
+  List<Integer> integers(String key, int least, int most) {
+    Object value = value(key);
+    if (value == null) {
+      return null;
+    }
+    List<Integer> out = new ArrayList<>();
+    if (!(value instanceof TomlArray array)) {
+      mismatch(key, "an array of whole numbers", value);
+      return out;
+    }
+    for (int i = 0; i < array.size(); i++) {
+      if (array.get(i) instanceof Long number && number >= least && number <= most) {
+        out.add(number.intValue());
+      } else {
+        mismatch(key, "whole numbers from " + least + " to " + most, array.get(i));
+      }
+    }
+    return out;
+  }
+
   /** A table; null where it is absent. */
   Section table(String key) {
     Object value = value(key);
--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -34,8 +34,8 @@
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
-import pumicekeel.upstream.ConnectionPool;
 import pumicekeel.upstream.UpstreamAttempt;
+import pumicekeel.upstream.UpstreamLinks;
 import pumicekeel.upstream.UpstreamTable;
 
 /** The table of open requests: tells the module what happens on the sockets and carries out what it decides. */
@@ -63,13 +63,13 @@
   private long endsAt = Long.MAX_VALUE;
 
   public BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, LoopLag lag,
-      ConnectionPool pool, Consumer<RuntimeException> defect) {
+      UpstreamLinks links, Consumer<RuntimeException> defect) {
     this.settings = settings;
     this.module = module;
     this.clock = clock;
     this.loop = loop;
     this.lag = lag;
-    upstreams = new UpstreamTable(pool);
+    upstreams = new UpstreamTable(links);
     this.defect = defect;
   }
 
@@ -246,7 +246,7 @@
     if (r == null || upstream == null) {
       throw new IllegalStateException("the module sent an unknown request or to an unknown upstream");
     }
-    UpstreamAttempt attempt = new UpstreamAttempt(r.attempts.size(), a.upstream(), clock.now(), upstream.pool(),
+    UpstreamAttempt attempt = upstream.link().attempt(r.attempts.size(), a.upstream(), clock.now(),
         (ended, status, answer) -> {
           upstreams.ended(upstream);
           ended(r, ended, status, answer);
--- a/src/main/java/pumicekeel/core/Lane.java
+++ b/src/main/java/pumicekeel/core/Lane.java
@@ -3,6 +3,7 @@
 import pumicekeel.Balancer.Settings;
 import pumicekeel.call.Client;
 import pumicekeel.call.ClientRequest;
+import pumicekeel.call.ClientRequest.Bad;
 
 /** The way of one request from its head to its final answer. Only on the loop. */
 public interface Lane {
@@ -13,8 +14,11 @@
   /** Keeps room for so many more bytes of the body; false where there is none. */
   boolean room(int bytes);
 
-  /** Takes the whole request, which is owed one final answer from now on; false where its id is open already. */
-  boolean take(ClientRequest request, Client client);
+  /**
+   * Takes the whole request, which is owed one final answer from now on; false where its id is open already. One that
+   * can't be put into the protocol of the pool's upstreams is turned away with the words of the exception.
+   */
+  boolean take(ClientRequest request, Client client) throws Bad;
 
   /** The client left a request that was taken. */
   void gone(String id);
--- /dev/null
+++ b/src/main/java/pumicekeel/front/Front.java
@@ -0,0 +1,37 @@
+package pumicekeel.front;
+
+import java.net.InetSocketAddress;
+
+/** A listening side, whatever protocol its clients speak. On the loop, unless it says otherwise. */
+public interface Front {
+
+  /** Listens; where {@code accepting} is false, connections wait until {@link #accept}. Waits, so not on the loop. */
+  InetSocketAddress listen(InetSocketAddress at, boolean accepting) throws InterruptedException;
+
+  /** Begins to accept, where listening began without. */
+  void accept();
+
+  /** Where it listens. */
+  InetSocketAddress address();
+
+  /** The balancer serves from now on. */
+  void setReady();
+
+  /** Another limit on connections, for what is accepted from now on. */
+  void resize(int connections);
+
+  /** Begins a planned stop. */
+  void drain();
+
+  /** Accepts no more; by any thread. */
+  void stopListening();
+
+  /** Ends what asks nothing; what is answered from now on is its connection's last. */
+  void closeIdle();
+
+  /** Takes no more, also of what has come in part. */
+  void closeUntaken();
+
+  /** Connections that are open. */
+  int open();
+}
--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -287,7 +287,8 @@
 
   @Override
   public void served(Answer answer) {
-    write(200, answer.body(), answer.contentType(), 0);
+    // A definite answer of the application's own, which the platform has no status for: 4xx, as the request is at fault.
+    write(answer.error() ? 422 : 200, answer.body(), answer.contentType(), 0);
   }
 
   @Override
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -13,9 +13,10 @@
 import java.util.List;
 import java.util.Set;
 import pumicekeel.core.Door;
+import pumicekeel.front.Front;
 
 /** The listening side: client connections, readiness, and the end of both at a planned stop. */
-public final class ClientSide {
+public final class ClientSide implements Front {
 
   private static final int BACKLOG = 1024;
   /** Read a piece at a time and few pieces in a row, or one client that floods would keep all others waiting. */
@@ -49,7 +50,7 @@
     return listen(address, true);
   }
 
-  /** Listens as above; where {@code accepting} is false, connections wait unaccepted until {@link #accept}. */
+  @Override
   public InetSocketAddress listen(InetSocketAddress at, boolean accepting) throws InterruptedException {
     listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -71,6 +72,7 @@
     return address;
   }
 
+  @Override
   public void setReady() {
     ready = true;
   }
@@ -97,11 +99,13 @@
   }
 
   /** Another limit on connections, for what is accepted from now on. */
+  @Override
   public void resize(int connections) {
     most = connections;
   }
 
   /** Begins to accept, where listening began without. */
+  @Override
   public void accept() {
     listener.config().setAutoRead(true);
   }
@@ -122,6 +126,7 @@
     return connections.isEmpty() && !listener.isOpen();
   }
 
+  @Override
   public int open() {
     return connections.size();
   }
@@ -153,27 +158,32 @@
   }
 
   /** Begins a planned stop: the front is told to send no more clients; those that are here are served on. */
+  @Override
   public void drain() {
     draining = true;
   }
 
   /** Where it listens. */
+  @Override
   public InetSocketAddress address() {
     return address;
   }
 
   /** Ends what asks nothing; each answer is its connection's last from now on. */
+  @Override
   public void closeIdle() {
     closing = true;
     List.copyOf(connections).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
   }
 
   /** Accepts no more. */
+  @Override
   public void stopListening() {
     listener.close();
   }
 
   /** Takes no more, also of what has come in part: a slow sender must not keep the process from its end. */
+  @Override
   public void closeUntaken() {
     closing = true;
     List.copyOf(connections).stream().filter(ClientHandler::untaken).forEach(ClientHandler::close);
--- /dev/null
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcCall.java
@@ -0,0 +1,245 @@
+package pumicekeel.front.jsonrpc;
+
+import java.util.Locale;
+import pumicekeel.Balancer.Effect;
+import pumicekeel.Balancer.RequestClass;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.call.Answer;
+import pumicekeel.call.Client;
+import pumicekeel.call.ClientRequest;
+import pumicekeel.call.ClientRequest.Bad;
+import pumicekeel.call.Facts;
+import pumicekeel.call.Payload;
+import pumicekeel.core.Lane;
+import pumicekeel.front.jsonrpc.BatchAnswers.How;
+import pumicekeel.front.jsonrpc.MethodMapping.BadParams;
+import pumicekeel.front.jsonrpc.MethodMapping.Part;
+import pumicekeel.front.jsonrpc.MethodMapping.Said;
+import pumicekeel.jsonrpc.Codes;
+import pumicekeel.jsonrpc.Id;
+import pumicekeel.jsonrpc.Message;
+import pumicekeel.jsonrpc.Writer;
+
+/** One call on its way from its connection to its end; a notification is one whose end nobody is told of. */
+final class RpcCall implements Client, Facts {
+
+  private static final long MILLI = 1_000_000L;
+  private final RpcClient connection;
+  private final BatchAnswers<Reply> batch;
+  private final Message.Call call;
+  private final MethodMapping mapping;
+  private Said said;
+  private Lane lane;
+  private ClientRequest request;
+  private boolean taken;
+  private boolean over;
+  private long arrivedAt;
+
+  RpcCall(RpcClient connection, Message.Call call, MethodMapping mapping, BatchAnswers<Reply> batch) {
+    this.connection = connection;
+    this.call = call;
+    this.mapping = mapping;
+    this.batch = batch;
+  }
+
+  /** Null for a notification. */
+  Id id() {
+    return call.id();
+  }
+
+  BatchAnswers<Reply> batch() {
+    return batch;
+  }
+
+  /** Why a call is turned away before anything was tried. */
+  static final class TurnedAway extends Exception {
+    private static final long serialVersionUID = 1L;
+    private final int code;
+    private final long retryAfterNanos;
+
+    TurnedAway(int code, String why, long retryAfterNanos) {
+      super(why, null, false, false);
+      this.code = code;
+      this.retryAfterNanos = retryAfterNanos;
+    }
+  }
+
+  /** Reads the params and finds the lane. */
+  void prepare(long now) throws TurnedAway {
+    arrivedAt = now;
+    try {
+      said = mapping.read(call.params());
+      lane = connection.side().door().enter(this);
+      request = request(lane.settings());
+      if (!lane.room(request.payload().size())) {
+        throw new TurnedAway(Codes.NO_ROOM, "no room for the params", 0);
+      }
+    } catch (BadParams e) {
+      throw new TurnedAway(Codes.INVALID_PARAMS, e.getMessage(), 0);
+    } catch (Bad e) {
+      throw new TurnedAway(codeOf(e.status), e.getMessage(), e.retryAfterNanos);
+    }
+  }
+
+  /** What a status of the platform's protocol is here. */
+  private static int codeOf(int status) {
+    return switch (status) {
+      case 404 -> Codes.NO_ROUTE;
+      case 502 -> Codes.FAILED;
+      case 503 -> Codes.NO_ROOM;
+      default -> Codes.INVALID_PARAMS;
+    };
+  }
+
+  private ClientRequest request(Settings settings) throws Bad, TurnedAway {
+    RequestClass type = ClientRequest.classOf(mapping.className(), settings);
+    try {
+      ClientRequest.checkTenant(said.tenant(), settings);
+    } catch (Bad e) {
+      throw new TurnedAway(Codes.INVALID_PARAMS, mapping.placeOf(Part.TENANT) + ": expected a tenant that is known", 0);
+    }
+    if (type.effect() == Effect.KEYED && said.idempotencyKey() == null) {
+      throw new TurnedAway(Codes.INVALID_PARAMS, mapping.placeOf(Part.IDEMPOTENCY_KEY)
+          + ": expected an idempotency key", 0);
+    }
+    if (call.params() != null && call.params().length > Answer.MAX_BODY) {
+      throw new TurnedAway(Codes.INVALID_PARAMS, "params of more than " + Answer.MAX_BODY + " bytes", 0);
+    }
+    long left = said.leftMillis() < 0 ? type.deadlineNanos() : Math.min(type.deadlineNanos(), said.leftMillis() * MILLI);
+    return new ClientRequest(connection.side().newRequestId(), type, said.tenant(), said.sessionKey(), left,
+        Math.max(0, said.hintMicros()) * 1_000L, false, new Payload.Call(call.method(), call.params(),
+            mapping.className(), said.uri(), mapping.host()), said.idempotencyKey());
+  }
+
+  long leftNanos() {
+    return request.leftNanos();
+  }
+
+  /** Gives it no more time than this. */
+  void cutTo(long nanos) {
+    request = request.withLeft(Math.min(nanos, request.leftNanos()));
+  }
+
+  /** Hands it over; from now on it is owed its end. */
+  void take() throws TurnedAway {
+    try {
+      taken = true;
+      if (!lane.take(request, this)) {
+        throw new TurnedAway(Codes.NO_ROOM, "its request id is open", 0);
+      }
+    } catch (Bad e) {
+      taken = false;
+      throw new TurnedAway(codeOf(e.status), e.getMessage(), e.retryAfterNanos);
+    } catch (TurnedAway e) {
+      taken = false;
+      throw e;
+    }
+  }
+
+  void turnAway(TurnedAway why) {
+    boolean protocol = why.code == Codes.INVALID_PARAMS || why.code == Codes.UNKNOWN_METHOD
+        || why.code == Codes.NO_ROUTE;
+    end(now -> why.code == Codes.INVALID_PARAMS
+        ? Reply.error(call.id(), why.code, Codes.messageOf(why.code) + ": " + why.getMessage(), null)
+        : Reply.refusal(call.id(), why.code, why.retryAfterNanos), protocol ? How.INVALID : How.GIVEN_UP);
+  }
+
+  @Override
+  public void served(Answer answer) {
+    byte[] result = connection.resultOf(answer);
+    if (result == null) {
+      // It ran, and what came of it can't be said: the client must not take that for a refusal.
+      failed();
+    } else if (answer.error()) {
+      end(now -> Reply.error(call.id(), result), How.ANSWERED);
+    } else {
+      end(now -> Reply.result(call.id(), result), How.ANSWERED);
+    }
+  }
+
+  @Override
+  public void refused(long retryAfterNanos) {
+    long at = System.nanoTime();
+    // What a batch holds back is told with what is left of the advice.
+    end(now -> Reply.refusal(call.id(), Codes.REFUSED,
+        retryAfterNanos <= 0 ? 0 : Math.max(1, retryAfterNanos - (now - at))), How.GIVEN_UP);
+  }
+
+  @Override
+  public void failed() {
+    end(now -> Reply.error(call.id(), Codes.FAILED, Codes.messageOf(Codes.FAILED),
+        "{\"request\":" + Writer.quoted(request.id()) + "}"), How.GIVEN_UP);
+  }
+
+  private void end(Reply reply, How how) {
+    if (over) {
+      return;
+    }
+    over = true;
+    taken = false;
+    leave();
+    long aim = request == null ? arrivedAt : arrivedAt + request.type().aimNanos();
+    connection.ended(this, call.id() == null ? null : reply, how, aim);
+  }
+
+  private void leave() {
+    Lane left = lane;
+    lane = null;
+    if (left != null) {
+      left.leave();
+    }
+  }
+
+  /** The client is gone: nobody is owed anything. */
+  void gone() {
+    if (over) {
+      return;
+    }
+    over = true;
+    if (taken) {
+      lane.gone(request.id());
+    }
+    leave();
+  }
+
+  // ---- What a route may ask for -------------------------------------------------------------------------
+
+  @Override
+  public String listener() {
+    return connection.side().name();
+  }
+
+  @Override
+  public String host() {
+    return mapping.host();
+  }
+
+  @Override
+  public String path() {
+    String uri = said.uri() == null ? "/" + mapping.className() : said.uri();
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+
+  /** A call has none, and takes no route that asks for one. */
+  @Override
+  public String method() {
+    return null;
+  }
+
+  @Override
+  public String className() {
+    return mapping.className();
+  }
+
+  @Override
+  public String header(String name) {
+    return switch (name.toLowerCase(Locale.ROOT)) {
+      case "x-account" -> said.tenant();
+      case "x-session-key" -> said.sessionKey();
+      case "idempotency-key" -> said.idempotencyKey();
+      case "x-service-class" -> mapping.className();
+      default -> null;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcClient.java
@@ -0,0 +1,443 @@
+package pumicekeel.front.jsonrpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import pumicekeel.call.Answer;
+import pumicekeel.front.jsonrpc.BatchAnswers.How;
+import pumicekeel.front.jsonrpc.RpcCall.TurnedAway;
+import pumicekeel.jsonrpc.Codes;
+import pumicekeel.jsonrpc.Frame;
+import pumicekeel.jsonrpc.FrameDecoder;
+import pumicekeel.jsonrpc.Framing;
+import pumicekeel.jsonrpc.Id;
+import pumicekeel.jsonrpc.Limits;
+import pumicekeel.jsonrpc.Message;
+import pumicekeel.jsonrpc.MessageReader;
+import pumicekeel.jsonrpc.Writer;
+import pumicekeel.runtime.Log;
+
+/** One client connection: reads messages, hands their calls over, and writes each answer once. */
+final class RpcClient extends SimpleChannelInboundHandler<Frame> {
+
+  /** Answers that a client does not read; more is given up at once, the rest after a time. */
+  private static final int MOST_UNREAD = 1 << 20;
+  /** Messages that could not be read; a client that sends more does not speak JSON-RPC. */
+  private static final int MOST_BROKEN = 100;
+  /** Between our last byte and the close: what the client sends meanwhile must not turn its answers into a reset. */
+  private static final long LINGER_MILLIS = 500;
+  /** At a drain, after the last answer: a call that was under way is still told to go elsewhere. */
+  private static final long QUIET_MILLIS = 200;
+  /** What an HTTP server's text becomes a string of. */
+  private static final MessageReader RESULTS = new MessageReader(new Limits(Answer.MAX_BODY, 62, 1));
+
+  private final RpcSide side;
+  private final CallSettings settings;
+  private final MessageReader reader;
+  private final FrameDecoder decoder;
+  private final Map<Id, RpcCall> open = new HashMap<>();
+  /** All calls that have not ended, notifications too. */
+  private final Set<RpcCall> calls = new LinkedHashSet<>();
+  private final Set<BatchAnswers<Reply>> batches = new LinkedHashSet<>();
+  private ChannelHandlerContext ctx;
+  private boolean inputOver;
+  private boolean readsNoMore;
+  private boolean finishing;
+  private boolean flushDue;
+  private boolean goesOn;
+  private int broken;
+  private long busyAt = System.nanoTime();
+  /** When the first byte came of the message that has come in part; 0 where none has. */
+  private long partSince;
+  private long stuckSince;
+
+  RpcClient(RpcSide side, CallSettings settings) {
+    this.side = side;
+    this.settings = settings;
+    reader = new MessageReader(settings.limits());
+    decoder = new FrameDecoder(settings.framing(), settings.limits(), this::takesMore);
+  }
+
+  FrameDecoder decoder() {
+    return decoder;
+  }
+
+  RpcSide side() {
+    return side;
+  }
+
+  int open() {
+    return calls.size();
+  }
+
+  boolean idle() {
+    return calls.isEmpty() && batches.isEmpty() && !decoder.holdsBytes() && !finishing;
+  }
+
+  private boolean takesMore() {
+    return calls.size() < settings.maxOpen() && !readsNoMore && !finishing && ctx.channel().isActive()
+        && ctx.channel().isWritable();
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    ctx = context;
+  }
+
+  // ---- Reading ------------------------------------------------------------------------------------------
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    partSince = 0;
+    busyAt = System.nanoTime();
+    if (frame instanceof Frame.Fault fault) {
+      refuseMessage(fault.code(), fault.why());
+      readNoMore();
+      return;
+    }
+    Message message = reader.read(((Frame.Whole) frame).bytes());
+    if (message instanceof Message.Broken b) {
+      refuseMessage(b.code(), b.why());
+      // Behind JSON that is none, the next value's beginning is a guess, unless something else tells it.
+      if (++broken >= MOST_BROKEN || b.code() == Codes.PARSE && decoder.framing() == Framing.VALUES) {
+        readNoMore();
+      }
+    } else if (message instanceof Message.One one) {
+      one(one.entry());
+    } else if (message instanceof Message.Batch batch) {
+      batch(batch.entries());
+    }
+  }
+
+  private void refuseMessage(int code, String why) {
+    write(Reply.plain(Id.NULL, code, why));
+  }
+
+  private void one(Message.Entry entry) {
+    RpcCall call = begin(entry, null);
+    if (call != null) {
+      take(call);
+    }
+  }
+
+  private void batch(List<Message.Entry> entries) {
+    BatchAnswers<Reply> answers = new BatchAnswers<>(settings.batch(), entries.size());
+    batches.add(answers);
+    List<RpcCall> begun = new ArrayList<>();
+    for (Message.Entry entry : entries) {
+      RpcCall call = begin(entry, answers);
+      if (call != null) {
+        begun.add(call);
+      }
+    }
+    if (settings.batch() == BatchMode.TOGETHER) {
+      long shortest = begun.stream().mapToLong(RpcCall::leftNanos).min().orElse(0);
+      begun.forEach(c -> c.cutTo(shortest));
+    }
+    begun.forEach(RpcClient::take);
+    flush(answers);
+  }
+
+  /** What is to be taken of an entry; null where it has ended already. */
+  private RpcCall begin(Message.Entry entry, BatchAnswers<Reply> answers) {
+    if (!(entry instanceof Message.Call call)) {
+      Id id = entry instanceof Message.Invalid invalid ? invalid.id() : Id.NULL;
+      turnAway(id, Codes.INVALID_REQUEST, answers);
+      return null;
+    }
+    MethodMapping mapping = side.settings().methods().get(call.method());
+    if (side.draining() || mapping == null) {
+      turnAway(call.id(), side.draining() ? Codes.DRAINING : Codes.UNKNOWN_METHOD, answers);
+      return null;
+    }
+    if (call.id() != null && open.containsKey(call.id())) {
+      // Under its own id the answer could be taken for that of the first.
+      end(answers, now -> Writer.error(Id.NULL, Writer.errorObject(Codes.INVALID_REQUEST, "this id is open already",
+          "{\"id\":" + call.id() + "}")), How.INVALID);
+      return null;
+    }
+    RpcCall next = new RpcCall(this, call, mapping, answers);
+    calls.add(next);
+    if (call.id() != null) {
+      open.put(call.id(), next);
+    }
+    try {
+      next.prepare(System.nanoTime());
+      return next;
+    } catch (TurnedAway e) {
+      next.turnAway(e);
+      return null;
+    }
+  }
+
+  private static void take(RpcCall call) {
+    try {
+      call.take();
+    } catch (TurnedAway e) {
+      call.turnAway(e);
+    }
+  }
+
+  /** Answers an entry that never became a call; {@code id} is null for a notification. */
+  private void turnAway(Id id, int code, BatchAnswers<Reply> answers) {
+    end(answers, id == null ? null : now -> Reply.plain(id, code, null),
+        code == Codes.DRAINING ? How.GIVEN_UP : How.INVALID);
+  }
+
+  private void end(BatchAnswers<Reply> answers, Reply reply, How how) {
+    if (answers != null) {
+      answers.ended(reply, how, 0);
+      // Sent with the rest once the whole batch has been looked at.
+    } else if (reply != null) {
+      write(reply.at(System.nanoTime()));
+    }
+  }
+
+  // ---- Ends ---------------------------------------------------------------------------------------------
+
+  /** A call has ended; {@code reply} is null for a notification. */
+  void ended(RpcCall call, Reply reply, How how, long waitUntil) {
+    calls.remove(call);
+    busyAt = System.nanoTime();
+    if (call.batch() == null) {
+      if (reply != null) {
+        forget(call.id());
+        write(reply.at(busyAt));
+      }
+    } else {
+      call.batch().ended(reply == null ? null : new Held(call.id(), reply), how, waitUntil);
+      flush(call.batch());
+    }
+    side.wasBusy(this);
+    goOnLater();
+  }
+
+  private void forget(Id id) {
+    open.remove(id);
+  }
+
+  /** An answer that waits in a batch: its id is open until it goes out. */
+  private record Held(Id id, Reply reply) implements Reply {
+    @Override
+    public byte[] at(long now) {
+      return reply.at(now);
+    }
+  }
+
+  private void flush(BatchAnswers<Reply> batch) {
+    long now = System.nanoTime();
+    List<Reply> out = batch.take(now);
+    if (!out.isEmpty()) {
+      List<byte[]> messages = new ArrayList<>(out.size());
+      for (Reply reply : out) {
+        if (reply instanceof Held held) {
+          forget(held.id());
+        }
+        messages.add(reply.at(now));
+      }
+      if (settings.batch() == BatchMode.APART) {
+        messages.forEach(m -> write(Writer.array(List.of(m))));
+      } else {
+        write(Writer.array(messages));
+      }
+    }
+    if (batch.over()) {
+      batches.remove(batch);
+      goOnLater();
+    } else if (batch.dueAt() != BatchAnswers.NEVER) {
+      ctx.executor().schedule(() -> flush(batch), Math.max(1, batch.dueAt() - now), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** An upstream's answer as raw JSON; null where there is no way to say it. */
+  byte[] resultOf(Answer answer) {
+    String type = answer.contentType() == null ? "" : answer.contentType().split(";", 2)[0].strip();
+    if (type.toLowerCase(Locale.ROOT).equals(Answer.JSON)) {
+      return RESULTS.isValue(answer.body()) ? answer.body() : null;
+    }
+    try {
+      return Writer.quoted(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(answer.body())).toString())
+          .getBytes(StandardCharsets.US_ASCII);
+    } catch (CharacterCodingException e) {
+      return null;
+    }
+  }
+
+  // ---- Writing ------------------------------------------------------------------------------------------
+
+  private void write(byte[] message) {
+    if (!ctx.channel().isActive()) {
+      return;
+    }
+    Framing framing = decoder.framing() == Framing.DETECT ? Framing.VALUES : decoder.framing();
+    ByteBuf frame = Writer.frame(framing, message);
+    ctx.write(frame);
+    if (!flushDue) {
+      flushDue = true;
+      ctx.executor().execute(this::flush);
+    }
+    var outbound = ctx.channel().unsafe().outboundBuffer();
+    if (outbound != null && outbound.totalPendingWriteBytes() > MOST_UNREAD) {
+      ctx.close();
+    }
+  }
+
+  private void flush() {
+    flushDue = false;
+    ctx.flush();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    stuckSince = context.channel().isWritable() ? 0 : System.nanoTime();
+    goOnLater();
+  }
+
+  // ---- Going on, and the end ----------------------------------------------------------------------------
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    boolean takes = takesMore();
+    if (decoder.holdsBytes() && takes) {
+      partSince = partSince == 0 ? System.nanoTime() : partSince;
+    } else {
+      partSince = 0;
+    }
+    context.channel().config().setAutoRead(takes || finishing);
+    finishIfDone();
+  }
+
+  /** Not at once: an answer may come from within the reading of the call. */
+  private void goOnLater() {
+    if (!goesOn) {
+      goesOn = true;
+      ctx.executor().execute(this::goOn);
+    }
+  }
+
+  private void goOn() {
+    goesOn = false;
+    if (!ctx.channel().isActive() || ctx.isRemoved()) {
+      return;
+    }
+    try {
+      if (takesMore()) {
+        decoder.resume();
+        ctx.channel().config().setAutoRead(takesMore());
+      }
+      if (inputOver && decoder.holdsBytes() && takesMore()) {
+        refuseMessage(Codes.PARSE, "cut short");
+        readNoMore();
+      }
+    } catch (Exception e) {
+      exceptionCaught(ctx, e);
+    }
+    finishIfDone();
+  }
+
+  private void readNoMore() {
+    readsNoMore = true;
+    decoder.discard();
+    finishIfDone();
+  }
+
+  private void finishIfDone() {
+    boolean nothingMore = readsNoMore || inputOver && !decoder.holdsBytes();
+    if (nothingMore && calls.isEmpty() && batches.isEmpty()) {
+      finish();
+    }
+  }
+
+  /** Takes no more; what is open is answered, then the connection is closed. */
+  void drain() {
+    if (idle()) {
+      closeWhenQuiet();
+    }
+  }
+
+  private void closeWhenQuiet() {
+    long quiet = System.nanoTime() - busyAt;
+    long wait = TimeUnit.MILLISECONDS.toNanos(QUIET_MILLIS) - quiet;
+    if (wait <= 0) {
+      finish();
+    }
+  }
+
+  /** Ends our side, and the connection once the other has ended its own, or a little later. */
+  void finish() {
+    if (finishing) {
+      return;
+    }
+    finishing = true;
+    decoder.discard();
+    ctx.channel().config().setAutoRead(true);
+    ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
+      if (inputOver || !(ctx.channel() instanceof DuplexChannel duplex)) {
+        ctx.close();
+        return;
+      }
+      duplex.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+      ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    });
+  }
+
+  /** Time limits. */
+  void look(long now) {
+    if (stuckSince != 0 && now - stuckSince > RpcSide.STUCK_NANOS) {
+      ctx.close();
+    } else if (partSince != 0 && now - partSince > RpcSide.MESSAGE_NANOS && !readsNoMore && !finishing) {
+      partSince = 0;
+      refuseMessage(Codes.INVALID_REQUEST, "the message took too long");
+      readNoMore();
+    } else if (idle() && (now - busyAt > settings.idleNanos()
+        || side.draining() && now - busyAt > TimeUnit.MILLISECONDS.toNanos(QUIET_MILLIS))) {
+      finish();
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      inputOver = true;
+      if (finishing) {
+        ctx.close();
+      } else {
+        goOnLater();
+      }
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    side.closed(this);
+    readsNoMore = true;
+    List.copyOf(calls).forEach(RpcCall::gone);
+    calls.clear();
+    open.clear();
+    batches.clear();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      Log.caused("client " + context.channel().remoteAddress() + ": " + cause);
+    }
+    context.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
@@ -0,0 +1,188 @@
+package pumicekeel.front.jsonrpc;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import pumicekeel.core.Door;
+import pumicekeel.front.Front;
+
+/** A listener for JSON-RPC over TCP: its connections, their time limits, and its end. */
+public final class RpcSide implements Front {
+
+  private static final int BACKLOG = 1024;
+  /** As with HTTP: one client that floods must not keep all others waiting. */
+  private static final int READ_BYTES = 4096;
+  private static final int READS_IN_A_ROW = 2;
+  /** Answers of this many bytes that wait for a slow reader stop the reading of its calls. */
+  private static final int UNREAD_LOW = 16 << 10;
+  private static final int UNREAD_HIGH = 64 << 10;
+  private static final long LOOK_MILLIS = 50;
+  private static final long MILLI = 1_000_000L;
+  /** From a message's first byte to its last. */
+  static final long MESSAGE_NANOS = 2_300 * MILLI;
+  /** A client that does not take its answers for so long does not want them. */
+  static final long STUCK_NANOS = 5_000 * MILLI;
+
+  private final EventLoop loop;
+  private final String name;
+  private final Door door;
+  private final RequestIds ids;
+  private CallSettings settings;
+  private int most;
+  private final Set<RpcClient> connections = new LinkedHashSet<>();
+  private Channel listener;
+  private InetSocketAddress address;
+  private Future<?> looks;
+  private boolean draining;
+
+  /** The listener of this name, with at most so many connections. */
+  public RpcSide(EventLoop loop, String name, Door door, int most, CallSettings settings, RequestIds ids) {
+    this.loop = loop;
+    this.name = name;
+    this.door = door;
+    this.most = most;
+    this.settings = settings;
+    this.ids = ids;
+  }
+
+  @Override
+  public InetSocketAddress listen(InetSocketAddress at, boolean accepting) throws InterruptedException {
+    listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.AUTO_READ, accepting)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNREAD_LOW, UNREAD_HIGH))
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+            new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_IN_A_ROW))
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            RpcClient client = new RpcClient(RpcSide.this, settings);
+            channel.pipeline().addLast(client.decoder(), client);
+            opened(client);
+          }
+        }).bind(at).sync().channel();
+    address = (InetSocketAddress) listener.localAddress();
+    loop.execute(() -> looks = loop.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS));
+    return address;
+  }
+
+  @Override
+  public void accept() {
+    listener.config().setAutoRead(true);
+  }
+
+  @Override
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  String name() {
+    return name;
+  }
+
+  Door door() {
+    return door;
+  }
+
+  String newRequestId() {
+    return ids.next();
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  /** Other settings, for connections that are accepted from now on; mappings count for the next call of any. */
+  public void settings(CallSettings next) {
+    settings = next;
+  }
+
+  CallSettings settings() {
+    return settings;
+  }
+
+  /** Calls are turned away by the door until there is something to serve them. */
+  @Override
+  public void setReady() {
+    // Nothing here asks for readiness.
+  }
+
+  @Override
+  public void resize(int connectionsAtMost) {
+    most = connectionsAtMost;
+  }
+
+  private void opened(RpcClient client) {
+    connections.add(client);
+    if (connections.size() >= most) {
+      connections.stream().filter(c -> c != client && c.idle()).findFirst()
+          .ifPresentOrElse(RpcClient::finish, () -> listener.config().setAutoRead(false));
+    }
+  }
+
+  void closed(RpcClient client) {
+    connections.remove(client);
+    if (connections.size() < most && listener != null && listener.isOpen()) {
+      listener.config().setAutoRead(true);
+    }
+  }
+
+  /** The one that was busy last comes last: at the limit the first one that is idle gives way. */
+  void wasBusy(RpcClient client) {
+    if (connections.remove(client)) {
+      connections.add(client);
+    }
+  }
+
+  private void look() {
+    if (connections.isEmpty() && !listener.isOpen()) {
+      looks.cancel(false);
+      return;
+    }
+    long now = System.nanoTime();
+    List.copyOf(connections).forEach(c -> c.look(now));
+    if (connections.size() >= most) {
+      connections.stream().filter(RpcClient::idle).findFirst().ifPresent(RpcClient::finish);
+    }
+  }
+
+  @Override
+  public void drain() {
+    draining = true;
+    List.copyOf(connections).forEach(RpcClient::drain);
+  }
+
+  @Override
+  public void closeIdle() {
+    List.copyOf(connections).stream().filter(RpcClient::idle).forEach(RpcClient::finish);
+  }
+
+  @Override
+  public void stopListening() {
+    listener.close();
+  }
+
+  @Override
+  public void closeUntaken() {
+    List.copyOf(connections).stream().filter(c -> c.open() == 0).forEach(RpcClient::finish);
+  }
+
+  @Override
+  public int open() {
+    return connections.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/jsonrpc/FrameDecoder.java
@@ -0,0 +1,248 @@
+package pumicekeel.jsonrpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Cuts the bytes of a connection into {@link Frame}s, with bounds that hold while they come. Behind a fault nothing more is
+ * read. Nothing is handed on while {@code open} says no; {@link #resume} goes on.
+ */
+public final class FrameDecoder extends ByteToMessageDecoder {
+
+  /** A head of Content-Length and perhaps Content-Type. */
+  static final int MOST_HEAD = 512;
+
+  private final Limits limits;
+  private final ValueScanner scanner;
+  private final BooleanSupplier open;
+  private Framing framing;
+  private int scanned;
+  private int length = -1;
+  private boolean broken;
+  private ChannelHandlerContext ctx;
+
+  public FrameDecoder(Framing framing, Limits limits, BooleanSupplier open) {
+    this.framing = framing;
+    this.limits = limits;
+    this.open = open;
+    scanner = new ValueScanner(limits);
+  }
+
+  /** How messages come: found by now, or {@link Framing#DETECT}. Answers go out the same way. */
+  public Framing framing() {
+    return framing;
+  }
+
+  /** Whether a message has come in part, or some wait in whole. */
+  public boolean holdsBytes() {
+    return actualReadableBytes() > 0;
+  }
+
+  /** Drops what is held and what still comes. */
+  public void discard() {
+    broken = true;
+    if (holdsBytes()) {
+      internalBuffer().skipBytes(actualReadableBytes());
+    }
+  }
+
+  /** Reads no further by itself while nothing is taken: the library would ask for more where nothing came of a read. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+    if (open.getAsBoolean()) {
+      super.channelReadComplete(context);
+    } else {
+      context.fireChannelReadComplete();
+    }
+  }
+
+  /** Goes on with what is held. On the loop. */
+  public void resume() throws Exception {
+    if (holdsBytes() && ctx != null && !ctx.isRemoved()) {
+      channelRead(ctx, Unpooled.EMPTY_BUFFER);
+      channelReadComplete(ctx);
+    }
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) throws Exception {
+    ctx = context;
+    super.handlerAdded(context);
+  }
+
+  /** The end of what the other side sends is no end of what it sent before: that is still answered. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+    if (event instanceof ChannelInputShutdownEvent) {
+      context.fireUserEventTriggered(event);
+    } else {
+      super.userEventTriggered(context, event);
+    }
+  }
+
+  /** What is left when a connection has ended is nobody's any more. */
+  @Override
+  protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+    in.skipBytes(in.readableBytes());
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+    if (broken) {
+      in.skipBytes(in.readableBytes());
+      return;
+    }
+    if (!open.getAsBoolean()) {
+      return;
+    }
+    if (length < 0 && scanned == 0 && framing != Framing.NEWLINE) {
+      skipSpace(in);
+    }
+    if (!in.isReadable()) {
+      return;
+    }
+    if (framing == Framing.DETECT) {
+      byte first = in.getByte(in.readerIndex());
+      framing = first == 'C' || first == 'c' ? Framing.CONTENT_LENGTH : Framing.VALUES;
+    }
+    switch (framing) {
+      case NEWLINE -> line(in, out);
+      case CONTENT_LENGTH -> counted(in, out);
+      default -> value(in, out);
+    }
+  }
+
+  private static void skipSpace(ByteBuf in) {
+    while (in.isReadable()) {
+      byte b = in.getByte(in.readerIndex());
+      if (b != ' ' && b != '\t' && b != '\r' && b != '\n') {
+        return;
+      }
+      in.skipBytes(1);
+    }
+  }
+
+  private void line(ByteBuf in, List<Object> out) {
+    int end = in.indexOf(in.readerIndex() + scanned, in.writerIndex(), (byte) '\n');
+    int size = (end < 0 ? in.writerIndex() : end) - in.readerIndex();
+    if (size > limits.bytes()) {
+      tooLarge(in, out);
+      return;
+    }
+    if (end < 0) {
+      scanned = size;
+      return;
+    }
+    scanned = 0;
+    byte[] bytes = take(in, size);
+    in.skipBytes(1);
+    if (!blank(bytes)) {
+      out.add(new Frame.Whole(bytes));
+    }
+  }
+
+  private static boolean blank(byte[] bytes) {
+    for (byte b : bytes) {
+      if (b != ' ' && b != '\t' && b != '\r') {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void value(ByteBuf in, List<Object> out) {
+    if (scanned == 0) {
+      scanner.reset();
+      byte first = in.getByte(in.readerIndex());
+      if (first != '{' && first != '[') {
+        fault(in, out, Codes.PARSE, "expected { or [ at the beginning of a message");
+        return;
+      }
+    }
+    int most = Math.min(in.readableBytes(), limits.bytes());
+    int end = scanner.scan(in, in.readerIndex() + scanned, in.readerIndex() + most);
+    if (scanner.failed()) {
+      fault(in, out, scanner.code(), scanner.fault());
+    } else if (end >= 0) {
+      scanned = 0;
+      out.add(new Frame.Whole(take(in, end - in.readerIndex())));
+    } else if (in.readableBytes() > limits.bytes()) {
+      tooLarge(in, out);
+    } else {
+      scanned = in.readableBytes();
+    }
+  }
+
+  private void counted(ByteBuf in, List<Object> out) {
+    if (length < 0 && !head(in, out)) {
+      return;
+    }
+    if (in.readableBytes() >= length) {
+      byte[] bytes = take(in, length);
+      length = -1;
+      scanned = 0;
+      out.add(new Frame.Whole(bytes));
+    }
+  }
+
+  /** Whether the head is whole and sound, and how much follows. */
+  private boolean head(ByteBuf in, List<Object> out) {
+    int most = Math.min(in.readableBytes(), MOST_HEAD);
+    String text = in.toString(in.readerIndex(), most, StandardCharsets.ISO_8859_1);
+    int end = text.indexOf("\r\n\r\n");
+    if (end < 0) {
+      if (in.readableBytes() >= MOST_HEAD) {
+        fault(in, out, Codes.PARSE, "a head of more than " + MOST_HEAD + " bytes");
+      } else {
+        scanned = in.readableBytes();
+      }
+      return false;
+    }
+    long size = -1;
+    for (String line : text.substring(0, end).split("\r\n", -1)) {
+      int colon = line.indexOf(':');
+      String name = colon < 0 ? "" : line.substring(0, colon).toLowerCase(Locale.ROOT);
+      String value = colon < 0 ? "" : line.substring(colon + 1).strip();
+      if (name.equals("content-length") && size < 0 && value.matches("[0-9]{1,10}")) {
+        size = Long.parseLong(value);
+      } else if (!name.equals("content-type")) {
+        fault(in, out, Codes.PARSE, "expected one Content-Length and perhaps a Content-Type");
+        return false;
+      }
+    }
+    if (size < 0) {
+      fault(in, out, Codes.PARSE, "no Content-Length");
+      return false;
+    }
+    if (size > limits.bytes()) {
+      tooLarge(in, out);
+      return false;
+    }
+    in.skipBytes(end + 4);
+    length = (int) size;
+    return true;
+  }
+
+  private static byte[] take(ByteBuf in, int size) {
+    byte[] bytes = new byte[size];
+    in.readBytes(bytes);
+    return bytes;
+  }
+
+  private void tooLarge(ByteBuf in, List<Object> out) {
+    fault(in, out, Codes.INVALID_REQUEST, "a message of more than " + limits.bytes() + " bytes");
+  }
+
+  private void fault(ByteBuf in, List<Object> out, int code, String why) {
+    broken = true;
+    in.skipBytes(in.readableBytes());
+    out.add(new Frame.Fault(code, why));
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/jsonrpc/Pointer.java
@@ -0,0 +1,43 @@
+package pumicekeel.jsonrpc;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A JSON Pointer as RFC 6901 writes it; {@code ""} is the whole document. */
+public record Pointer(String text, List<String> tokens) {
+
+  /** Of a pointer that a person wrote; params are no deeper. */
+  public static final int MOST_TOKENS = Limits.MOST_DEPTH;
+
+  /** Reads a pointer; an IllegalArgumentException says what was expected. */
+  public static Pointer of(String text) {
+    if (!text.isEmpty() && text.charAt(0) != '/') {
+      throw new IllegalArgumentException("a JSON Pointer, which is empty or begins with /");
+    }
+    List<String> tokens = new ArrayList<>();
+    if (!text.isEmpty()) {
+      for (String token : text.substring(1).split("/", -1)) {
+        tokens.add(unescaped(token));
+      }
+    }
+    if (tokens.size() > MOST_TOKENS) {
+      throw new IllegalArgumentException("a JSON Pointer of at most " + MOST_TOKENS + " parts");
+    }
+    return new Pointer(text, List.copyOf(tokens));
+  }
+
+  /** ~1 first: ~01 stands for ~1. Section 4 of the RFC. */
+  private static String unescaped(String token) {
+    for (int i = token.indexOf('~'); i >= 0; i = token.indexOf('~', i + 1)) {
+      if (i + 1 == token.length() || token.charAt(i + 1) != '0' && token.charAt(i + 1) != '1') {
+        throw new IllegalArgumentException("a JSON Pointer in which ~ is followed by 0 or 1");
+      }
+    }
+    return token.replace("~1", "/").replace("~0", "~");
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/jsonrpc/Pointers.java
@@ -0,0 +1,110 @@
+package pumicekeel.jsonrpc;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Several pointers evaluated in one pass over a document. Section 4 of RFC 6901: a part names a member of an object, or
+ * the index of an array without a leading zero; {@code -} names what is not there.
+ */
+public final class Pointers {
+
+  /** What kind of value a pointer leads to. */
+  public enum Kind { ABSENT, STRING, NUMBER, BOOLEAN, NULL, OBJECT, ARRAY }
+
+  /** A value; {@code text} is a string decoded, a number or word as written, and null for the rest. */
+  public record Found(Kind kind, String text) {
+    static final Found ABSENT = new Found(Kind.ABSENT, null);
+  }
+
+  private static final class Node {
+    private final Map<String, Node> children = new HashMap<>();
+    private int index = -1;
+  }
+
+  private final Node root = new Node();
+  private final int count;
+
+  public Pointers(List<Pointer> pointers) {
+    count = pointers.size();
+    int distinct = 0;
+    places = new int[count];
+    for (int i = 0; i < count; i++) {
+      Node node = root;
+      for (String token : pointers.get(i).tokens()) {
+        node = node.children.computeIfAbsent(token, k -> new Node());
+      }
+      node.index = node.index < 0 ? distinct++ : node.index;
+      places[i] = node.index;
+    }
+  }
+
+  /** Pointers that are the same share what was found. */
+  private final int[] places;
+
+  /** What each pointer leads to, in their order. The document is whole and well formed; null stands for none. */
+  public Found[] in(byte[] document) {
+    Found[] found = new Found[count];
+    java.util.Arrays.fill(found, Found.ABSENT);
+    if (document != null && count > 0) {
+      try (JsonParser p = MessageReader.FACTORY.createParser(document)) {
+        p.nextToken();
+        walk(p, found);
+      } catch (IOException e) {
+        throw new IllegalStateException("params that were read before", e);
+      }
+    }
+    Found[] out = new Found[count];
+    for (int i = 0; i < count; i++) {
+      out[i] = found[places[i]];
+    }
+    return out;
+  }
+
+  private void walk(JsonParser p, Found[] found) throws IOException {
+    Node[] nodes = new Node[Limits.MOST_DEPTH + 2];
+    int[] indexes = new int[Limits.MOST_DEPTH + 2];
+    boolean[] arrays = new boolean[Limits.MOST_DEPTH + 2];
+    int depth = 0;
+    Node here = root;
+    for (JsonToken t = p.currentToken(); t != null; t = p.nextToken()) {
+      if (t == JsonToken.FIELD_NAME) {
+        here = nodes[depth] == null ? null : nodes[depth].children.get(p.currentName());
+        continue;
+      }
+      if (t == JsonToken.END_OBJECT || t == JsonToken.END_ARRAY) {
+        depth--;
+        continue;
+      }
+      if (depth > 0 && arrays[depth]) {
+        Node parent = nodes[depth];
+        int at = indexes[depth]++;
+        here = parent == null || parent.children.isEmpty() ? null : parent.children.get(Integer.toString(at));
+      }
+      if (here != null && here.index >= 0) {
+        found[here.index] = found(p, t);
+      }
+      if (t.isStructStart()) {
+        depth++;
+        nodes[depth] = here;
+        indexes[depth] = 0;
+        arrays[depth] = t == JsonToken.START_ARRAY;
+      }
+    }
+  }
+
+  private static Found found(JsonParser p, JsonToken t) throws IOException {
+    return switch (t) {
+      case VALUE_STRING -> new Found(Kind.STRING, p.getText());
+      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new Found(Kind.NUMBER, p.getText());
+      case VALUE_TRUE, VALUE_FALSE -> new Found(Kind.BOOLEAN, p.getText());
+      case START_OBJECT -> new Found(Kind.OBJECT, null);
+      case START_ARRAY -> new Found(Kind.ARRAY, null);
+      default -> new Found(Kind.NULL, null);
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/jsonrpc/ValueScanner.java
@@ -0,0 +1,118 @@
+package pumicekeel.jsonrpc;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Finds where a JSON object or array ends, byte by byte as it comes, and stops at the first bracket that can't be: what is
+ * too deep, closes what was not opened, or holds too many entries is not waited for to its end.
+ */
+final class ValueScanner {
+
+  private final Limits limits;
+  private int depth;
+  /** One bit for each open bracket, the innermost lowest: 1 for an object. */
+  private long kinds;
+  private boolean batch;
+  private int commas;
+  private boolean string;
+  private boolean escaped;
+  private int code;
+  private boolean failed;
+  private String fault;
+
+  ValueScanner(Limits limits) {
+    this.limits = limits;
+  }
+
+  void reset() {
+    depth = 0;
+    kinds = 0;
+    commas = 0;
+    string = false;
+    escaped = false;
+    failed = false;
+    fault = null;
+  }
+
+  boolean failed() {
+    return failed;
+  }
+
+  /** What is wrong beyond its code, or null. */
+  String fault() {
+    return fault;
+  }
+
+  int code() {
+    return code;
+  }
+
+  /** Reads on; the index behind the value's last byte, or -1 where there is more to come or a fault. */
+  int scan(ByteBuf in, int from, int to) {
+    for (int i = from; i < to; i++) {
+      if (step(in.getByte(i))) {
+        return i + 1;
+      }
+      if (failed) {
+        return -1;
+      }
+    }
+    return -1;
+  }
+
+  private boolean step(byte b) {
+    if (string) {
+      if (b >= 0 && b < 0x20) {
+        fail(Codes.PARSE, "a control character in a string");
+      } else if (escaped) {
+        escaped = false;
+      } else if (b == '\\') {
+        escaped = true;
+      } else if (b == '"') {
+        string = false;
+      }
+      return false;
+    }
+    switch (b) {
+      case '"' -> string = true;
+      case '{', '[' -> open(b == '{');
+      case '}', ']' -> {
+        return close(b == '}');
+      }
+      case ',' -> {
+        if (depth == 1 && batch && ++commas >= limits.calls()) {
+          fail(Codes.INVALID_REQUEST, "more than " + limits.calls() + " calls in a batch");
+        }
+      }
+      default -> { }
+    }
+    return false;
+  }
+
+  private void open(boolean object) {
+    if (depth == limits.depth()) {
+      fail(Codes.INVALID_REQUEST, "more than " + limits.depth() + " arrays and objects in one another");
+      return;
+    }
+    if (depth == 0) {
+      batch = !object;
+    }
+    depth++;
+    kinds = kinds << 1 | (object ? 1 : 0);
+  }
+
+  private boolean close(boolean object) {
+    if (depth == 0 || (kinds & 1) == 1 != object) {
+      fail(Codes.PARSE, null);
+      return false;
+    }
+    kinds >>>= 1;
+    return --depth == 0;
+  }
+
+  private void fail(int with, String why) {
+    failed = true;
+    code = with;
+    fault = why;
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/jsonrpc/Writer.java
@@ -0,0 +1,110 @@
+package pumicekeel.jsonrpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Makes messages. Strings of the balancer's own are ASCII; what comes from others is passed on as it came. */
+public final class Writer {
+
+  private static final byte[] CALL = ascii("{\"jsonrpc\":\"2.0\",\"method\":");
+  private static final byte[] RESULT = ascii("{\"jsonrpc\":\"2.0\",\"result\":");
+  private static final byte[] ERROR = ascii("{\"jsonrpc\":\"2.0\",\"error\":");
+  private static final byte[] PARAMS = ascii(",\"params\":");
+  private static final byte[] ID = ascii(",\"id\":");
+  /** Behind a message where a line ends it; a value of its own, as the message is over without it. */
+  private static final byte[] LINE = {'\n'};
+
+  private Writer() {}
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /** A call; {@code params} may be null. */
+  public static byte[] call(Id id, String method, byte[] params) {
+    byte[] name = ascii(quoted(method));
+    return params == null ? joined(CALL, name, ID, id.raw(), new byte[] {'}'})
+        : joined(CALL, name, PARAMS, params, ID, id.raw(), new byte[] {'}'});
+  }
+
+  public static byte[] result(Id id, byte[] result) {
+    return joined(RESULT, result, ID, id.raw(), new byte[] {'}'});
+  }
+
+  /** A response whose error object is raw JSON. */
+  public static byte[] error(Id id, byte[] error) {
+    return joined(ERROR, error, ID, id.raw(), new byte[] {'}'});
+  }
+
+  /** An error object; {@code data} is raw JSON or null. */
+  public static byte[] errorObject(int code, String message, String data) {
+    return ascii("{\"code\":" + code + ",\"message\":" + quoted(message)
+        + (data == null ? "" : ",\"data\":" + data) + "}");
+  }
+
+  /** Several messages as one array. */
+  public static byte[] array(List<byte[]> messages) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.write('[');
+    for (int i = 0; i < messages.size(); i++) {
+      if (i > 0) {
+        out.write(',');
+      }
+      out.writeBytes(messages.get(i));
+    }
+    out.write(']');
+    return out.toByteArray();
+  }
+
+  private static byte[] joined(byte[]... parts) {
+    int length = 0;
+    for (byte[] part : parts) {
+      length += part.length;
+    }
+    byte[] out = new byte[length];
+    int at = 0;
+    for (byte[] part : parts) {
+      System.arraycopy(part, 0, out, at, part.length);
+      at += part.length;
+    }
+    return out;
+  }
+
+  /** A JSON string in ASCII. */
+  public static String quoted(String text) {
+    StringBuilder out = new StringBuilder(text.length() + 2).append('"');
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c == '"' || c == '\\') {
+        out.append('\\').append(c);
+      } else if (c < 0x20 || c > 0x7e) {
+        out.append(String.format("\\u%04x", (int) c));
+      } else {
+        out.append(c);
+      }
+    }
+    return out.append('"').toString();
+  }
+
+  /** What goes in front of a message of so many bytes; null for nothing. */
+  public static ByteBuf before(Framing framing, int size) {
+    return framing == Framing.CONTENT_LENGTH ? Unpooled.wrappedBuffer(ascii("Content-Length: " + size + "\r\n\r\n"))
+        : null;
+  }
+
+  /** What goes behind a message; null for nothing. */
+  public static ByteBuf behind(Framing framing) {
+    return framing == Framing.CONTENT_LENGTH ? null : Unpooled.wrappedBuffer(LINE);
+  }
+
+  /** A whole frame. */
+  public static ByteBuf frame(Framing framing, byte[] message) {
+    ByteBuf before = before(framing, message.length);
+    ByteBuf behind = behind(framing);
+    ByteBuf body = Unpooled.wrappedBuffer(message);
+    return before != null ? Unpooled.wrappedBuffer(before, body) : Unpooled.wrappedBuffer(body, behind);
+  }
+}
--- a/src/main/java/pumicekeel/node/Admission.java
+++ b/src/main/java/pumicekeel/node/Admission.java
@@ -8,6 +8,7 @@
 import pumicekeel.call.Answer;
 import pumicekeel.call.Client;
 import pumicekeel.call.ClientRequest;
+import pumicekeel.call.ClientRequest.Bad;
 import pumicekeel.core.AttemptLog;
 import pumicekeel.core.BalancerCore;
 import pumicekeel.core.Lane;
@@ -61,7 +62,11 @@
   }
 
   @Override
-  public boolean take(ClientRequest taken, Client to) {
+  public boolean take(ClientRequest taken, Client to) throws Bad {
+    String why = pool.objection(taken);
+    if (why != null) {
+      throw new Bad(400, why);
+    }
     if (!services.open(taken.id())) {
       return false;
     }
@@ -132,7 +137,7 @@
   public boolean handOver(long leftNanos) {
     ServicePool next = bound || pool.core().ready() > 0 ? null : services.fallbackOf(route, pool);
     RequestClass type = next == null ? null : next.classLike(request.type());
-    if (type == null || !next.open.tryTake(1)) {
+    if (type == null || next.objection(request.withType(type)) != null || !next.open.tryTake(1)) {
       return false;
     }
     if (!next.body.tryTake(bytes)) {
--- a/src/main/java/pumicekeel/node/Listeners.java
+++ b/src/main/java/pumicekeel/node/Listeners.java
@@ -10,7 +10,10 @@
 import java.util.concurrent.TimeUnit;
 import pumicekeel.config.Operator;
 import pumicekeel.core.Door;
+import pumicekeel.front.Front;
 import pumicekeel.front.http.ClientSide;
+import pumicekeel.front.jsonrpc.RequestIds;
+import pumicekeel.front.jsonrpc.RpcSide;
 import pumicekeel.runtime.Log;
 
 /** The listening sides of a node: the platform's, which stays, and those that generations bring and take away. */
@@ -21,16 +24,18 @@
   /** What a removed listener's clients still begin is answered within this; then the connections are closed. */
   private static final long LEAVING_MILLIS = 2_000;
 
-  private record Side(Operator.Listener spec, ClientSide side) {}
+  private record Side(Operator.Listener spec, Front side) {}
 
   private final EventLoop loop;
   private final Door door;
   private final ClientSide platform;
   private final int total;
+  private final RequestIds ids;
   private final Map<String, Side> sides = new LinkedHashMap<>();
-  private final List<ClientSide> leaving = new ArrayList<>();
+  private final List<Front> leaving = new ArrayList<>();
 
-  Listeners(EventLoop loop, Door door, int total, String warmUpPath) {
+  Listeners(EventLoop loop, Door door, int total, String warmUpPath, RequestIds ids) {
+    this.ids = ids;
     this.loop = loop;
     this.door = door;
     this.total = total;
@@ -61,22 +66,23 @@
   }
 
   /** Binds what a generation brings, without accepting yet; all of it or none. Waits, so not for the loop. */
-  Map<String, ClientSide> bind(Operator next) throws IOException, InterruptedException {
-    Map<String, ClientSide> bound = new LinkedHashMap<>();
+  Map<String, Front> bind(Operator next) throws IOException, InterruptedException {
+    Map<String, Front> bound = new LinkedHashMap<>();
     List<Integer> plan = plan(total, next);
     Map<String, Side> present = loop.submit(() -> Map.copyOf(sides)).syncUninterruptibly().getNow();
     int i = 1;
     for (Operator.Listener l : next.listeners().values()) {
       int most = plan.get(i++);
       Side now = present.get(l.name());
-      if (now != null && now.spec().address().equals(l.address())) {
+      if (now != null && now.spec().address().equals(l.address()) && (now.spec().rpc() == null) == (l.rpc() == null)) {
         continue;
       }
-      ClientSide side = new ClientSide(loop, l.name(), door, most, null);
+      Front side = l.rpc() == null ? new ClientSide(loop, l.name(), door, most, null)
+          : new RpcSide(loop, l.name(), door, most, l.rpc(), ids);
       try {
         side.listen(l.address(), false);
       } catch (Exception e) {
-        bound.values().forEach(ClientSide::stopListening);
+        bound.values().forEach(Front::stopListening);
         if (e instanceof InterruptedException interrupted) {
           throw interrupted;
         }
@@ -89,7 +95,7 @@
   }
 
   /** Takes a generation's listeners over. On the loop. */
-  void apply(Operator next, Map<String, ClientSide> bound, boolean ready) {
+  void apply(Operator next, Map<String, Front> bound, boolean ready) {
     List<Integer> plan = plan(total, next);
     platform.resize(plan.get(0));
     List.copyOf(sides.keySet()).stream()
@@ -98,9 +104,12 @@
     int i = 1;
     for (Operator.Listener l : next.listeners().values()) {
       int most = plan.get(i++);
-      ClientSide side = bound.containsKey(l.name()) ? bound.get(l.name()) : sides.get(l.name()).side();
+      Front side = bound.containsKey(l.name()) ? bound.get(l.name()) : sides.get(l.name()).side();
       sides.put(l.name(), new Side(l, side));
       side.resize(most);
+      if (side instanceof RpcSide calls) {
+        calls.settings(l.rpc());
+      }
       if (bound.containsKey(l.name())) {
         if (ready) {
           side.setReady();
@@ -116,7 +125,7 @@
     return sides.get(name).side().address();
   }
 
-  private void leave(ClientSide side) {
+  private void leave(Front side) {
     side.drain();
     side.stopListening();
     leaving.add(side);
@@ -125,7 +134,7 @@
   }
 
   /** Each answer is its connection's last; what is idle goes at once, what has begun to come in a little later. */
-  private void close(ClientSide side, long end) {
+  private void close(Front side, long end) {
     side.closeIdle();
     if (System.nanoTime() - end >= 0) {
       side.closeUntaken();
@@ -138,27 +147,27 @@
   }
 
   void setReady() {
-    all().forEach(ClientSide::setReady);
+    all().forEach(Front::setReady);
   }
 
   void drain() {
-    all().forEach(ClientSide::drain);
+    all().forEach(Front::drain);
   }
 
   void stopListening() {
-    all().forEach(ClientSide::stopListening);
+    all().forEach(Front::stopListening);
   }
 
   void closeUntaken() {
-    all().forEach(ClientSide::closeUntaken);
+    all().forEach(Front::closeUntaken);
   }
 
   int open() {
-    return all().stream().mapToInt(ClientSide::open).sum();
+    return all().stream().mapToInt(Front::open).sum();
   }
 
-  private List<ClientSide> all() {
-    List<ClientSide> all = new ArrayList<>();
+  private List<Front> all() {
+    List<Front> all = new ArrayList<>();
     all.add(platform);
     sides.values().forEach(s -> all.add(s.side()));
     all.addAll(leaving);
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -14,7 +14,8 @@
 import pumicekeel.config.Configuration;
 import pumicekeel.config.Operator;
 import pumicekeel.config.OperatorLoader;
-import pumicekeel.front.http.ClientSide;
+import pumicekeel.front.Front;
+import pumicekeel.front.jsonrpc.RequestIds;
 import pumicekeel.runtime.Log;
 import pumicekeel.journal.Journal;
 import pumicekeel.journal.JournalWriter;
@@ -64,7 +65,7 @@
     serving = services == null ? new OnePool(configuration, loop, lag, this::defect) : services;
     firstGeneration = operator;
     listeners = new Listeners(loop, serving.door(), services == null ? Rooms.clientSockets(configuration)
-        : services.rooms().clientSockets(), warmUpPath);
+        : services.rooms().clientSockets(), warmUpPath, new RequestIds(configuration.name(), System.currentTimeMillis()));
   }
 
   /**
@@ -110,7 +111,7 @@
   /** Listens and follows the list; the address that clients connect to. */
   public InetSocketAddress start() throws IOException, InterruptedException {
     openJournal();
-    Map<String, ClientSide> bound = firstGeneration == null ? Map.of() : listeners.bind(firstGeneration);
+    Map<String, Front> bound = firstGeneration == null ? Map.of() : listeners.bind(firstGeneration);
     InetSocketAddress address = listeners.platform().listen(configuration.listen());
     loop.execute(() -> {
       serving.start();
@@ -172,7 +173,7 @@
    */
   void reload(Operator next) throws IOException, InterruptedException {
     services.check(next);
-    Map<String, ClientSide> bound = listeners.bind(next);
+    Map<String, Front> bound = listeners.bind(next);
     String objection;
     try {
       objection = loop.submit(() -> {
@@ -189,7 +190,7 @@
       throw new IllegalStateException(e.getCause());
     }
     if (objection != null) {
-      bound.values().forEach(ClientSide::stopListening);
+      bound.values().forEach(Front::stopListening);
       throw new IOException(objection);
     }
   }
--- a/src/main/java/pumicekeel/node/OnePool.java
+++ b/src/main/java/pumicekeel/node/OnePool.java
@@ -10,7 +10,7 @@
 import pumicekeel.discovery.Discovery;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
-import pumicekeel.upstream.ConnectionPool;
+import pumicekeel.upstream.http.ConnectionPool;
 
 /** A node without an operator file: one module, one list, one pool of connections. */
 final class OnePool implements Serving {
--- a/src/main/java/pumicekeel/node/ServicePool.java
+++ b/src/main/java/pumicekeel/node/ServicePool.java
@@ -14,6 +14,8 @@
 import pumicekeel.Balancer.RequestClass;
 import pumicekeel.Balancer.Settings;
 import pumicekeel.Balancer.State;
+import pumicekeel.call.ClientRequest;
+import pumicekeel.call.Payload;
 import pumicekeel.config.Operator;
 import pumicekeel.core.BalancerCore;
 import pumicekeel.discovery.HostList;
@@ -25,7 +27,9 @@
 import pumicekeel.pool.Shares;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
-import pumicekeel.upstream.ConnectionPool;
+import pumicekeel.upstream.UpstreamLinks;
+import pumicekeel.upstream.http.ConnectionPool;
+import pumicekeel.upstream.jsonrpc.RpcLinks;
 import pumicekeel.upstream.UpstreamSockets;
 
 /**
@@ -45,7 +49,7 @@
   private final Settings settings;
   private final Shared shared;
   private final UpstreamSource source;
-  private final ConnectionPool connections;
+  private final UpstreamLinks connections;
   private final BalancerCore core;
   private final Residence residence = new Residence();
   final Shares.Owner open;
@@ -66,12 +70,29 @@
     open = shared.open().add(0, 0);
     body = shared.body().add(0, 0);
     turn = shared.turns().lane(MOST_WAITING);
-    connections = new ConnectionPool(shared.loop(), settings.limits().connectTimeoutNanos(),
-        settings.limits().connectionIdleNanos(), shared.sockets(), 0, 0);
+    connections = links(spec, settings, shared);
     core = new BalancerCore(settings, new AdaptiveBalancer(settings, seed), shared.clock(), shared.loop(),
         shared.lag(), connections, shared.defect());
   }
 
+  private static UpstreamLinks links(Operator.Pool spec, Settings settings, Shared shared) {
+    var limits = settings.limits();
+    return spec.rpc() == null
+        ? new ConnectionPool(shared.loop(), limits.connectTimeoutNanos(), limits.connectionIdleNanos(),
+            shared.sockets(), 0, 0)
+        : new RpcLinks(shared.loop(), limits.connectTimeoutNanos(), limits.connectionIdleNanos(), shared.sockets(),
+            spec.rpc());
+  }
+
+  /** Why a request can't be put into the protocol of this pool's upstreams; null where it can. */
+  String objection(ClientRequest request) {
+    if (connections instanceof RpcLinks rpc) {
+      return rpc.objection(request);
+    }
+    return request.payload() instanceof Payload.Call call && !call.fitsHttp(request.type().effect())
+        ? "params of more than a request line holds" : null;
+  }
+
   String name() {
     return spec.name();
   }
--- a/src/main/java/pumicekeel/node/Services.java
+++ b/src/main/java/pumicekeel/node/Services.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pumicekeel.Balancer.Effect;
+import pumicekeel.Balancer.RequestClass;
 import pumicekeel.Balancer.Settings;
 import pumicekeel.call.ClientRequest;
 import pumicekeel.call.ClientRequest.Bad;
@@ -22,6 +23,7 @@
 import pumicekeel.core.Lane;
 import pumicekeel.discovery.HostList;
 import pumicekeel.discovery.UpstreamSource;
+import pumicekeel.front.jsonrpc.MethodMapping;
 import pumicekeel.journal.KeyMemory;
 import pumicekeel.pool.FairTurns;
 import pumicekeel.pool.KeyedHomes;
@@ -142,6 +144,25 @@
     for (Operator.Pool pool : next.pools().values()) {
       settingsOf(configuration, pool);
     }
+    checkMethods(configuration, next);
+  }
+
+  /** A method's class has to be some pool's, and a keyed one needs its key: no call of it could ever be taken. */
+  private static void checkMethods(Configuration configuration, Operator next) {
+    for (Operator.Listener listener : next.listeners().values()) {
+      for (MethodMapping m : listener.rpc() == null ? List.<MethodMapping>of() : listener.rpc().methods().values()) {
+        List<Effect> effects = next.pools().values().stream().flatMap(p -> settingsOf(configuration, p).classes()
+            .stream()).filter(c -> c.name().equals(m.className())).map(RequestClass::effect).toList();
+        if (effects.isEmpty()) {
+          throw new IllegalArgumentException("methods: expected a class that a pool has as the class of \""
+              + m.method() + "\", got \"" + m.className() + "\"");
+        }
+        if (effects.contains(Effect.KEYED) && !m.states(MethodMapping.Part.IDEMPOTENCY_KEY)) {
+          throw new IllegalArgumentException("methods: expected idempotency-key for \"" + m.method()
+              + "\", whose class is keyed");
+        }
+      }
+    }
   }
 
   private Settings settingsOf(Operator.Pool pool) {
@@ -219,7 +240,7 @@
       ServicePool pool = pools.get(spec.name());
       boolean keeps = pool != null && sources.get(spec.source()) == before.get(spec.source())
           && pool.spec().source().equals(spec.source()) && pool.spec().select().equals(spec.select())
-          && pool.settings().equals(settingsOf(spec));
+          && java.util.Objects.equals(pool.spec().rpc(), spec.rpc()) && pool.settings().equals(settingsOf(spec));
       if (!keeps) {
         pool = new ServicePool(spec, settingsOf(spec), configuration.seed() + made++, shared,
             sources.get(spec.source()), others -> others.forEach(ServicePool::retell));
--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -28,7 +28,7 @@
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
-import pumicekeel.upstream.ConnectionPool;
+import pumicekeel.upstream.http.ConnectionPool;
 
 /**
  * Guards the first clients from a cold JVM: before the balancer says that it is up, made-up requests run through all
--- /dev/null
+++ b/src/main/java/pumicekeel/upstream/SocketUser.java
@@ -0,0 +1,19 @@
+package pumicekeel.upstream;
+
+import java.net.InetSocketAddress;
+import pumicekeel.pool.Shares;
+
+/** One of those that share the sockets to upstreams. */
+public interface SocketUser {
+
+  Shares.Owner share();
+
+  /** The most connections to one address at which this one still opens another; 0 for no cap. */
+  int perUpstream();
+
+  /** Closes the connection to this address that has been idle longest; false where none is idle. */
+  boolean closeIdleAt(InetSocketAddress address);
+
+  /** Closes the connection that has been idle longest; false where none is idle. */
+  boolean closeOldest();
+}
--- a/src/main/java/pumicekeel/upstream/UpstreamSockets.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamSockets.java
@@ -15,7 +15,7 @@
 public final class UpstreamSockets {
 
   private final Shares shares;
-  private final Set<ConnectionPool> pools = new LinkedHashSet<>();
+  private final Set<SocketUser> pools = new LinkedHashSet<>();
   private final Map<InetSocketAddress, Integer> open = new HashMap<>();
 
   public UpstreamSockets(int most) {
@@ -26,11 +26,11 @@
     return shares;
   }
 
-  void add(ConnectionPool pool) {
+  public void add(SocketUser pool) {
     pools.add(pool);
   }
 
-  void remove(ConnectionPool pool) {
+  public void remove(SocketUser pool) {
     pools.remove(pool);
   }
 
@@ -40,7 +40,7 @@
   }
 
   /** Takes a socket for a connection; false where there is no room for it and nothing idle gives way. */
-  boolean take(ConnectionPool pool, InetSocketAddress address) {
+  public boolean take(SocketUser pool, InetSocketAddress address) {
     if (pool.perUpstream() > 0 && openAt(address) >= pool.perUpstream()
         && pools.stream().noneMatch(p -> p.closeIdleAt(address))) {
       return false;
@@ -56,7 +56,7 @@
     return true;
   }
 
-  void release(ConnectionPool pool, InetSocketAddress address) {
+  public void release(SocketUser pool, InetSocketAddress address) {
     pool.share().release(1);
     open.computeIfPresent(address, (k, n) -> n == 1 ? null : n - 1);
   }
--- a/src/main/java/pumicekeel/upstream/UpstreamTable.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamTable.java
@@ -15,7 +15,7 @@
   /** An upstream as the list last told of it, with its connections. */
   public static final class Entry {
     private final long id;
-    private UpstreamPool pool;
+    private UpstreamLink link;
     /** When it began to leave, or 0 while it is ready. */
     private long leavingSince;
     private boolean gone;
@@ -31,8 +31,8 @@
       return host;
     }
 
-    public UpstreamPool pool() {
-      return pool;
+    public UpstreamLink link() {
+      return link;
     }
 
     /** How long it has been leaving, or 0. */
@@ -41,12 +41,12 @@
     }
   }
 
-  private final ConnectionPool pools;
+  private final UpstreamLinks links;
   private final Map<Long, Entry> entries = new HashMap<>();
   private int ready;
 
-  public UpstreamTable(ConnectionPool pools) {
-    this.pools = pools;
+  public UpstreamTable(UpstreamLinks links) {
+    this.links = links;
   }
 
   /** The upstream of this id; null where the list never named it, or it is gone and nothing is out to it. */
@@ -80,11 +80,11 @@
     Listed listed = host.listed();
     Entry e = entries.computeIfAbsent(listed.upstream(), Entry::new);
     e.host = host;
-    if (e.pool == null || !e.pool.address().equals(host.address()) || e.gone) {
-      if (e.pool != null) {
-        e.pool.close();
+    if (e.link == null || !e.link.address().equals(host.address()) || e.gone) {
+      if (e.link != null) {
+        e.link.close();
       }
-      e.pool = pools.of(host.address());
+      e.link = links.of(host.address());
     }
     if (listed.state() == State.READY) {
       e.leavingSince = 0;
@@ -98,7 +98,7 @@
     e.leavingSince = e.leavingSince == 0 ? now : e.leavingSince;
     e.gone = gone;
     if (gone) {
-      e.pool.close();
+      e.link.close();
       forgetIfOver(e);
     }
   }
--- a/src/main/java/pumicekeel/upstream/AnswerDecoder.java
+++ b/src/main/java/pumicekeel/upstream/http/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package pumicekeel.upstream;
+package pumicekeel.upstream.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/pumicekeel/upstream/AnswerHead.java
+++ b/src/main/java/pumicekeel/upstream/http/AnswerHead.java
@@ -1,4 +1,4 @@
-package pumicekeel.upstream;
+package pumicekeel.upstream.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
--- a/src/main/java/pumicekeel/upstream/ConnectionPool.java
+++ b/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
@@ -1,4 +1,4 @@
-package pumicekeel.upstream;
+package pumicekeel.upstream.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -14,9 +14,13 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import pumicekeel.pool.Shares;
+import pumicekeel.upstream.SocketUser;
+import pumicekeel.upstream.UpstreamLinks;
+import pumicekeel.upstream.UpstreamSocket;
+import pumicekeel.upstream.UpstreamSockets;
 
 /** Connections to all upstreams: opens them, keeps them few and closes those that have stood idle. */
-public final class ConnectionPool {
+public final class ConnectionPool implements UpstreamLinks, SocketUser {
 
   /** Idle connections go at this part of the upstream's own limit: one written to after that would end as a reset. */
   private static final double IDLE_PART = 0.7;
@@ -49,7 +53,7 @@
     sweep = loop.scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
   }
 
-  /** The pool of an upstream that is new or has a new address. */
+  @Override
   public UpstreamPool of(InetSocketAddress address) {
     UpstreamPool pool = new UpstreamPool(this, address);
     pools.add(pool);
@@ -78,7 +82,7 @@
     pools.remove(pool);
   }
 
-  /** Ends the pool: closes what is idle and looks for no more. */
+  @Override
   public void close() {
     sweep.cancel(false);
     List.copyOf(pools).forEach(UpstreamPool::close);
@@ -86,22 +90,24 @@
     share.leave();
   }
 
-  Shares.Owner share() {
+  @Override
+  public Shares.Owner share() {
     return share;
   }
 
-  /** New figures, for what is opened from now on; a cap of 0 is none. */
+  @Override
   public void resize(long guaranteed, long most, int connectionsPerUpstream) {
     share.resize(guaranteed, most);
     perUpstream = connectionsPerUpstream;
   }
 
-  int perUpstream() {
+  @Override
+  public int perUpstream() {
     return perUpstream;
   }
 
-  /** Closes the connection to this address that has been idle longest; false where none is idle. */
-  boolean closeIdleAt(InetSocketAddress address) {
+  @Override
+  public boolean closeIdleAt(InetSocketAddress address) {
     for (UpstreamPool pool : pools) {
       UpstreamConnection oldest = pool.address().equals(address) ? pool.oldest() : null;
       if (oldest != null) {
@@ -117,8 +123,8 @@
     pools.forEach(p -> p.closeOlderThan(before));
   }
 
-  /** Closes the connection that has been idle longest; false where none is idle. */
-  boolean closeOldest() {
+  @Override
+  public boolean closeOldest() {
     UpstreamConnection oldest = null;
     for (UpstreamPool pool : pools) {
       UpstreamConnection next = pool.oldest();
--- /dev/null
+++ b/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
@@ -0,0 +1,109 @@
+package pumicekeel.upstream.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.function.BooleanSupplier;
+import pumicekeel.Balancer.Status;
+import pumicekeel.call.ClientRequest;
+import pumicekeel.call.Payload;
+import pumicekeel.upstream.UpstreamAttempt;
+
+/** An attempt that has an HTTP connection for itself; one that ends otherwise than by an answer takes it along. */
+final class HttpAttempt extends UpstreamAttempt {
+
+  /** A kept connection that breaks within so long of the request was broken before: no upstream answers as fast. */
+  private static final long STALE_NANOS = 50_000_000L;
+
+  private final UpstreamPool pool;
+  private UpstreamConnection connection;
+  private ChannelFuture connecting;
+  private boolean stale;
+
+  HttpAttempt(int number, long upstream, long decidedAt, UpstreamPool pool, Ending ending) {
+    super(number, upstream, decidedAt, ending);
+    this.pool = pool;
+  }
+
+  @Override
+  protected void begin(ClientRequest request, BooleanSupplier maySend) {
+    UpstreamConnection idle = pool.takeIdle();
+    if (idle != null) {
+      write(idle, request, maySend);
+      return;
+    }
+    connecting = pool.connect();
+    if (connecting == null) {
+      end(Status.CONNECT_FAILED, null);
+      return;
+    }
+    connecting.addListener(done -> {
+      if (!out()) {
+        connecting.channel().close();
+      } else if (!done.isSuccess()) {
+        end(Status.CONNECT_FAILED, null);
+      } else {
+        write(connecting.channel().pipeline().get(UpstreamConnection.class), request, maySend);
+      }
+    });
+  }
+
+  private void write(UpstreamConnection to, ClientRequest request, BooleanSupplier maySend) {
+    if (!maySend.getAsBoolean()) {
+      to.giveBack();
+      end(Status.NOT_SENT, null);
+      return;
+    }
+    connection = to;
+    to.send(this, message(request, sending()));
+    if (recordsWriting()) {
+      to.whenWritten(this::written);
+    }
+  }
+
+  private static FullHttpRequest message(ClientRequest request, long leftMillis) {
+    Payload.Http http = request.payload().http(request.type().effect());
+    FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, http.method(), http.uri(),
+        Unpooled.wrappedBuffer(http.body()));
+    message.headers().set(HttpHeaderNames.HOST, http.host())
+        .set(ClientRequest.ID, request.id())
+        .set(ClientRequest.TIME_LEFT, leftMillis)
+        .set(HttpHeaderNames.CONTENT_LENGTH, http.body().length);
+    if (request.idempotencyKey() != null) {
+      message.headers().set(ClientRequest.IDEMPOTENCY_KEY, request.idempotencyKey());
+    }
+    if (http.contentType() != null) {
+      message.headers().set(HttpHeaderNames.CONTENT_TYPE, http.contentType());
+    }
+    return message;
+  }
+
+  @Override
+  public boolean stale() {
+    return stale;
+  }
+
+  @Override
+  protected void over(Status how) {
+    stale = how == Status.RESET && connecting == null && connection.nothingHeard() && sinceSent() < STALE_NANOS;
+    if (stale) {
+      // What was kept for longer has most likely gone the same way, and would cost an attempt each.
+      pool.closeOlderThan(connection.idleSince);
+    }
+    if (how == Status.TIMEOUT || how == Status.CANCELLED) {
+      if (connection != null) {
+        connection.close();
+      } else if (connecting != null) {
+        connecting.channel().close();
+      }
+    }
+    if (how == Status.TIMEOUT && !pool.heardWithin(timeoutNanos())) {
+      // A machine that vanished keeps its connections open and silent: none of them is used again. One that still
+      // answers others was only slow, and closing all would cost it a storm of new connections.
+      pool.closeIdle();
+    }
+  }
+}
--- a/src/main/java/pumicekeel/upstream/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -1,4 +1,4 @@
-package pumicekeel.upstream;
+package pumicekeel.upstream.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
@@ -20,6 +20,8 @@
 import pumicekeel.Balancer.Status;
 import pumicekeel.call.Answer;
 import pumicekeel.runtime.Log;
+import pumicekeel.upstream.UpstreamAttempt;
+import pumicekeel.upstream.UpstreamSocket;
 
 /**
  * A connection to an upstream: sends one attempt at a time and reads how it ended. Only once a read is over with
--- a/src/main/java/pumicekeel/upstream/UpstreamPool.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamPool.java
@@ -1,15 +1,17 @@
-package pumicekeel.upstream;
+package pumicekeel.upstream.http;
 
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
+import pumicekeel.upstream.UpstreamAttempt;
+import pumicekeel.upstream.UpstreamLink;
 
 /**
  * The idle connections to one upstream, one request each at a time; the one that was used last is used first. It
  * belongs to the upstream and not to its address: a successor at the same address must not get its predecessor's.
  */
-public final class UpstreamPool {
+public final class UpstreamPool implements UpstreamLink {
 
   private final ConnectionPool all;
   private final InetSocketAddress address;
@@ -22,10 +24,16 @@
     this.address = address;
   }
 
+  @Override
   public InetSocketAddress address() {
     return address;
   }
 
+  @Override
+  public UpstreamAttempt attempt(int number, long upstream, long decidedAt, UpstreamAttempt.Ending ending) {
+    return new HttpAttempt(number, upstream, decidedAt, this, ending);
+  }
+
   /** The idle connection that was used last, or null; one on which anything waits unread is of no use. */
   public UpstreamConnection takeIdle() {
     UpstreamConnection newest = idle.pollFirst();
@@ -71,7 +79,7 @@
     closing.forEach(UpstreamConnection::close);
   }
 
-  /** The upstream is gone or has moved: what is idle goes now, the rest when it is given back. */
+  @Override
   public void close() {
     closed = true;
     closeIdle();
--- /dev/null
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/HttpCalls.java
@@ -0,0 +1,115 @@
+package pumicekeel.upstream.jsonrpc;
+
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pumicekeel.call.ClientRequest;
+import pumicekeel.call.Payload;
+import pumicekeel.jsonrpc.Limits;
+import pumicekeel.jsonrpc.Message;
+import pumicekeel.jsonrpc.MessageReader;
+import pumicekeel.jsonrpc.Pointer;
+import pumicekeel.jsonrpc.Pointers;
+import pumicekeel.jsonrpc.Writer;
+
+/**
+ * Makes a call of an HTTP request. A GET's query becomes an object of strings, with what its path says behind the class as
+ * the member {@code path}; a POST's body has to be an object or an array, or empty.
+ */
+final class HttpCalls {
+
+  /** What such a request can't say in a call. */
+  static final class Untranslatable extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Untranslatable(String why) {
+      super(why, null, false, false);
+    }
+  }
+
+  private static final MessageReader VALUES = new MessageReader(new Limits(pumicekeel.call.Answer.MAX_BODY, 32, 1));
+  private static final String PATH = "path";
+
+  private HttpCalls() {}
+
+  /** The call of a request, which may be one already. */
+  static Message.Call of(ClientRequest request, ServerSettings settings) throws Untranslatable {
+    if (request.payload() instanceof Payload.Call call) {
+      return new Message.Call(null, call.method(), call.params());
+    }
+    Payload.Http http = (Payload.Http) request.payload();
+    String type = request.type().name();
+    String key = request.idempotencyKey();
+    byte[] params = http.method().equals(HttpMethod.GET) ? query(http.uri(), type) : body(http.body());
+    return new Message.Call(null, settings.methods().getOrDefault(type, type),
+        key == null ? params : withKey(params, settings.keyMember(), key));
+  }
+
+  private static byte[] query(String uri, String type) throws Untranslatable {
+    QueryStringDecoder decoded = new QueryStringDecoder(uri, StandardCharsets.UTF_8);
+    Map<String, String> members = new LinkedHashMap<>();
+    try {
+      String rest = decoded.path().substring(Math.min(decoded.path().length(), type.length() + 1));
+      if (!rest.isEmpty() && !rest.equals("/")) {
+        members.put(PATH, rest);
+      }
+      for (Map.Entry<String, List<String>> e : decoded.parameters().entrySet()) {
+        if (e.getValue().size() > 1 || members.putIfAbsent(e.getKey(), e.getValue().get(0)) != null) {
+          throw new Untranslatable("the query names something twice");
+        }
+      }
+    } catch (IllegalArgumentException e) {
+      throw new Untranslatable("malformed query");
+    }
+    if (members.isEmpty()) {
+      return null;
+    }
+    StringBuilder out = new StringBuilder("{");
+    members.forEach((name, value) -> out.append(out.length() > 1 ? "," : "").append(Writer.quoted(name)).append(':')
+        .append(Writer.quoted(value)));
+    return out.append('}').toString().getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static byte[] body(byte[] body) throws Untranslatable {
+    if (body.length == 0) {
+      return null;
+    }
+    Pointers.Kind kind = VALUES.isValue(body) ? new Pointers(List.of(Pointer.of(""))).in(body)[0].kind() : null;
+    if (kind != Pointers.Kind.OBJECT && kind != Pointers.Kind.ARRAY) {
+      throw new Untranslatable("expected a JSON object or array as the body");
+    }
+    return body;
+  }
+
+  /** The key has to reach the server, or it could not drop a repeat. */
+  private static byte[] withKey(byte[] params, String member, String key) throws Untranslatable {
+    String added = Writer.quoted(member) + ":" + Writer.quoted(key);
+    if (params == null) {
+      return ("{" + added + "}").getBytes(StandardCharsets.US_ASCII);
+    }
+    String pointer = "/" + member.replace("~", "~0").replace("/", "~1");
+    Pointers.Found[] found = new Pointers(List.of(Pointer.of(""), Pointer.of(pointer))).in(params);
+    if (found[0].kind() != Pointers.Kind.OBJECT) {
+      throw new Untranslatable("expected a JSON object as the body of a keyed request");
+    }
+    if (found[1].kind() == Pointers.Kind.STRING && found[1].text().equals(key)) {
+      return params;
+    }
+    if (found[1].kind() != Pointers.Kind.ABSENT) {
+      throw new Untranslatable("the body has another " + member + " than the header");
+    }
+    int open = 0;
+    while (params[open] != '{') {
+      open++;
+    }
+    boolean empty = new String(params, open + 1, params.length - open - 1, StandardCharsets.UTF_8).strip().equals("}");
+    byte[] head = ("{" + added + (empty ? "" : ",")).getBytes(StandardCharsets.US_ASCII);
+    byte[] out = new byte[head.length + params.length - open - 1];
+    System.arraycopy(head, 0, out, 0, head.length);
+    System.arraycopy(params, open + 1, out, head.length, params.length - open - 1);
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcAttempt.java
@@ -0,0 +1,71 @@
+package pumicekeel.upstream.jsonrpc;
+
+import java.util.function.BooleanSupplier;
+import pumicekeel.Balancer.Status;
+import pumicekeel.call.ClientRequest;
+import pumicekeel.upstream.UpstreamAttempt;
+
+/** A call on a connection that others share: when it ends early, the connection goes on without it. */
+final class RpcAttempt extends UpstreamAttempt {
+
+  /** As with HTTP: a kept connection that breaks so soon was broken before. */
+  private static final long STALE_NANOS = 50_000_000L;
+
+  private final RpcLink link;
+  private RpcConnection connection;
+  /** Its id there; 0 while it has none. */
+  private long id;
+  private long framesThen;
+  private boolean stale;
+
+  RpcAttempt(int number, long upstream, long decidedAt, RpcLink link, Ending ending) {
+    super(number, upstream, decidedAt, ending);
+    this.link = link;
+  }
+
+  @Override
+  protected void begin(ClientRequest request, BooleanSupplier maySend) {
+    RpcConnection place = link.place();
+    if (place == null) {
+      end(Status.CONNECT_FAILED, null);
+      return;
+    }
+    connection = place;
+    place.send(this, request, maySend);
+  }
+
+  /** It goes out now under this id. */
+  void goesOut(long as) {
+    id = as;
+    framesThen = connection.frames();
+    sending();
+  }
+
+  long id() {
+    return id;
+  }
+
+  long sinceGoingOut() {
+    return sinceSent();
+  }
+
+  void wholeOut() {
+    written();
+  }
+
+  @Override
+  public boolean stale() {
+    return stale;
+  }
+
+  @Override
+  protected void over(Status how) {
+    if (connection == null) {
+      return;
+    }
+    stale = how == Status.RESET && connection.keptAndSilent(id, framesThen) && sinceSent() < STALE_NANOS;
+    if (how == Status.TIMEOUT || how == Status.CANCELLED) {
+      connection.giveUp(this, how == Status.TIMEOUT ? timeoutNanos() : 0);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcLink.java
@@ -0,0 +1,82 @@
+package pumicekeel.upstream.jsonrpc;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import pumicekeel.upstream.UpstreamAttempt;
+import pumicekeel.upstream.UpstreamLink;
+
+/** The connections to one server: a call goes to the one with the fewest out, and to a new one only where all are full. */
+final class RpcLink implements UpstreamLink {
+
+  private final RpcLinks all;
+  private final InetSocketAddress address;
+  private final List<RpcConnection> connections = new ArrayList<>(1);
+  private boolean closed;
+
+  RpcLink(RpcLinks all, InetSocketAddress address) {
+    this.all = all;
+    this.address = address;
+  }
+
+  @Override
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  @Override
+  public UpstreamAttempt attempt(int number, long upstream, long decidedAt, UpstreamAttempt.Ending ending) {
+    return new RpcAttempt(number, upstream, decidedAt, this, ending);
+  }
+
+  ServerSettings settings() {
+    return all.settings();
+  }
+
+  /** A connection that takes one more call, perhaps one that is still connecting; null where there is no room. */
+  RpcConnection place() {
+    RpcConnection best = null;
+    for (RpcConnection c : List.copyOf(connections)) {
+      if (c.takesMore() && (best == null || c.out() < best.out())) {
+        best = c;
+      }
+    }
+    if (best == null) {
+      best = all.connect(this);
+      if (best != null && !best.isClosed()) {
+        connections.add(best);
+      }
+    }
+    return best;
+  }
+
+  void ended(RpcConnection connection) {
+    connections.remove(connection);
+  }
+
+  RpcConnection longestIdle() {
+    RpcConnection oldest = null;
+    for (RpcConnection c : connections) {
+      if (c.idle() && (oldest == null || c.idleSince() - oldest.idleSince() < 0)) {
+        oldest = c;
+      }
+    }
+    return oldest;
+  }
+
+  void closeOlderThan(long before) {
+    List.copyOf(connections).stream().filter(c -> c.idle() && c.idleSince() - before <= 0)
+        .forEach(RpcConnection::close);
+  }
+
+  boolean isClosed() {
+    return closed;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    List.copyOf(connections).forEach(RpcConnection::retire);
+    all.forget(this);
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
@@ -0,0 +1,142 @@
+package pumicekeel.upstream.jsonrpc;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import pumicekeel.call.ClientRequest;
+import pumicekeel.pool.Shares;
+import pumicekeel.upstream.SocketUser;
+import pumicekeel.upstream.UpstreamLink;
+import pumicekeel.upstream.UpstreamLinks;
+import pumicekeel.upstream.UpstreamSocket;
+import pumicekeel.upstream.UpstreamSockets;
+
+/** Connections to the JSON-RPC servers of one pool, each with many calls out. */
+public final class RpcLinks implements UpstreamLinks, SocketUser {
+
+  /** As with HTTP: an idle connection goes before the server would close it. */
+  private static final double IDLE_PART = 0.7;
+  private static final int SWEEPS = 20;
+
+  private final Bootstrap bootstrap;
+  private final UpstreamSockets sockets;
+  private final Shares.Owner share;
+  private final ServerSettings settings;
+  private final long idleNanos;
+  private final Set<RpcLink> links = new LinkedHashSet<>();
+  private final Future<?> sweep;
+  private int perUpstream;
+
+  /** Connections that share a room; nothing of it is guaranteed to them yet. */
+  public RpcLinks(EventLoop loop, long connectTimeoutNanos, long idleNanos, UpstreamSockets sockets,
+      ServerSettings settings) {
+    this.sockets = sockets;
+    this.settings = settings;
+    this.idleNanos = (long) (idleNanos * IDLE_PART);
+    share = sockets.shares().add(0, 0);
+    sockets.add(this);
+    bootstrap = new Bootstrap().group(loop).channelFactory(UpstreamSocket::new)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
+    long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
+    sweep = loop.scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
+  }
+
+  /** Why a request can't be sent to these servers; null where it can. */
+  public String objection(ClientRequest request) {
+    try {
+      HttpCalls.of(request, settings);
+      return null;
+    } catch (HttpCalls.Untranslatable e) {
+      return e.getMessage();
+    }
+  }
+
+  @Override
+  public UpstreamLink of(InetSocketAddress address) {
+    RpcLink link = new RpcLink(this, address);
+    links.add(link);
+    return link;
+  }
+
+  ServerSettings settings() {
+    return settings;
+  }
+
+  /** Opens a connection; null where the limit on sockets leaves no room for one. */
+  RpcConnection connect(RpcLink link) {
+    if (!sockets.take(this, link.address())) {
+      return null;
+    }
+    RpcConnection connection = new RpcConnection(link, settings);
+    var connecting = bootstrap.clone().handler(connection.pipeline()).connect(link.address());
+    connecting.channel().closeFuture().addListener(closed -> sockets.release(this, link.address()));
+    connection.connecting(connecting);
+    return connection;
+  }
+
+  void forget(RpcLink link) {
+    links.remove(link);
+  }
+
+  @Override
+  public void resize(long guaranteed, long most, int connectionsPerUpstream) {
+    share.resize(guaranteed, most);
+    perUpstream = connectionsPerUpstream;
+  }
+
+  @Override
+  public void close() {
+    sweep.cancel(false);
+    List.copyOf(links).forEach(RpcLink::close);
+    sockets.remove(this);
+    share.leave();
+  }
+
+  @Override
+  public Shares.Owner share() {
+    return share;
+  }
+
+  @Override
+  public int perUpstream() {
+    return perUpstream;
+  }
+
+  @Override
+  public boolean closeIdleAt(InetSocketAddress address) {
+    return closed(oldest(address));
+  }
+
+  @Override
+  public boolean closeOldest() {
+    return closed(oldest(null));
+  }
+
+  private static boolean closed(RpcConnection connection) {
+    if (connection != null) {
+      connection.close();
+    }
+    return connection != null;
+  }
+
+  private RpcConnection oldest(InetSocketAddress address) {
+    RpcConnection oldest = null;
+    for (RpcLink link : links) {
+      RpcConnection next = address == null || address.equals(link.address()) ? link.longestIdle() : null;
+      oldest = oldest == null || next != null && next.idleSince() - oldest.idleSince() < 0 ? next : oldest;
+    }
+    return oldest;
+  }
+
+  private void closeOld() {
+    long before = System.nanoTime() - idleNanos;
+    links.forEach(l -> l.closeOlderThan(before));
+  }
+}
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -35,7 +35,7 @@
 import pumicekeel.discovery.HostList;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
-import pumicekeel.upstream.ConnectionPool;
+import pumicekeel.upstream.http.ConnectionPool;
 
 /** The request table under modules that do what the real one never should. */
 class BalancerCoreTest {
@@ -99,7 +99,8 @@
   private void take(String id, String type, long leftMillis, Runnable then) throws Exception {
     var type1 = settings.classes().stream().filter(c -> c.name().equals(type)).findFirst().orElseThrow();
     ClientRequest request = new ClientRequest(id, type1, "acme", "k", leftMillis * 1_000_000, 0, false,
-        io.netty.handler.codec.http.HttpMethod.GET, "/" + type, "h", null, null, new byte[0]);
+        new pumicekeel.call.Payload.Http(io.netty.handler.codec.http.HttpMethod.GET, "/" + type, "h", null, new byte[0]),
+        null);
     assertTrue(loop.submit(() -> {
       boolean taken = core.take(request, client);
       then.run();
--- a/src/test/java/pumicekeel/node/ConnectionPoolTest.java
+++ b/src/test/java/pumicekeel/node/ConnectionPoolTest.java
@@ -18,10 +18,11 @@
 import pumicekeel.Balancer.RequestClass;
 import pumicekeel.Balancer.Status;
 import pumicekeel.call.ClientRequest;
+import pumicekeel.call.Payload;
 import pumicekeel.runtime.Clock;
-import pumicekeel.upstream.ConnectionPool;
+import pumicekeel.upstream.http.ConnectionPool;
 import pumicekeel.upstream.UpstreamAttempt;
-import pumicekeel.upstream.UpstreamPool;
+import pumicekeel.upstream.http.UpstreamPool;
 
 /** Limits of the pool, and what a send comes to that is over before its first byte. */
 class ConnectionPoolTest {
@@ -34,8 +35,9 @@
   private void send(UpstreamPool pool, String id, boolean maySend, UpstreamAttempt.Ending ending) {
     RequestClass type = new RequestClass("look", Effect.SAFE, DedupScope.ALL, LONG, LONG, 0, LONG, 1, 0, false);
     ClientRequest request =
-        new ClientRequest(id, type, "acme", "k", LONG, 0, false, HttpMethod.GET, "/look", "h", null, null, new byte[0]);
-    new UpstreamAttempt(0, 1, 0, pool, ending).start(request, LONG, () -> maySend, new Clock(), loop);
+        new ClientRequest(id, type, "acme", "k", LONG, 0, false, 
+            new Payload.Http(HttpMethod.GET, "/look", "h", null, new byte[0]), null);
+    pool.attempt(0, 1, 0, ending).start(request, LONG, () -> maySend, new Clock(), loop);
   }
 
   private void attempt(UpstreamPool pool, boolean maySend) {
--- a/src/test/java/pumicekeel/node/TestServices.java
+++ b/src/test/java/pumicekeel/node/TestServices.java
@@ -18,7 +18,10 @@
 import pumicekeel.discovery.HostList;
 import pumicekeel.runtime.Addresses;
 import pumicekeel.standin.StandInClients;
+import pumicekeel.jsonrpc.Framing;
 import pumicekeel.standin.StandInDiscovery;
+import pumicekeel.standin.StandInRpcClient;
+import pumicekeel.standin.StandInRpcServer;
 import pumicekeel.standin.StandInUpstream;
 
 /** A node with an operator file, its stand-ins and its clients, all in this process. */
@@ -41,6 +44,8 @@
   private final EventLoopGroup othersOfB = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   final EventLoopGroup clientLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   final Map<String, StandInUpstream> upstreams = new LinkedHashMap<>();
+  final Map<String, StandInRpcServer> servers = new LinkedHashMap<>();
+  private final List<StandInRpcClient> rpcClients = new ArrayList<>();
   final Map<String, StandInDiscovery> discoveries = new LinkedHashMap<>();
   private final List<StandInClients> clients = new ArrayList<>();
   final List<String> defects = new ArrayList<>();
@@ -60,6 +65,29 @@
     return upstream;
   }
 
+  /** A JSON-RPC server, which a list names as it does the others. */
+  StandInRpcServer server(String name) throws Exception {
+    return server(name, Framing.NEWLINE);
+  }
+
+  StandInRpcServer server(String name, Framing framing) throws Exception {
+    StandInRpcServer server = new StandInRpcServer(standIns, framing);
+    servers.put(name, server);
+    return server;
+  }
+
+  /** A client of a JSON-RPC listener of the file. */
+  StandInRpcClient rpcClient(String listener, Framing framing) throws Exception {
+    InetSocketAddress at = ask(() -> node.listeners().address(listener));
+    StandInRpcClient client = new StandInRpcClient(at, clientLoops, framing);
+    rpcClients.add(client);
+    return client;
+  }
+
+  private InetSocketAddress addressOf(String name) {
+    return upstreams.containsKey(name) ? upstreams.get(name).address() : servers.get(name).address();
+  }
+
   StandInDiscovery discovery(String name) throws Exception {
     StandInDiscovery discovery = new StandInDiscovery(standIns);
     discoveries.put(name, discovery);
@@ -73,7 +101,7 @@
       String[] parts = name.split("!");
       String cell = parts[0].replaceAll("\\D", "");
       out.append(out.length() == 1 ? "" : ", ").append("{ name = \"").append(parts[0]).append("\", address = \"")
-          .append(text(upstreams.get(parts[0]).address())).append("\", group = ").append(cell.isEmpty() ? "0" : cell)
+          .append(text(addressOf(parts[0]))).append("\", group = ").append(cell.isEmpty() ? "0" : cell)
           .append(parts.length > 1 ? ", status = \"" + parts[1] + "\"" : "").append(" }");
     }
     return out.append("]").toString();
@@ -122,7 +150,9 @@
     if (node != null) {
       node.close();
     }
+    rpcClients.forEach(StandInRpcClient::close);
     upstreams.values().forEach(StandInUpstream::close);
+    servers.values().forEach(StandInRpcServer::close);
     discoveries.values().forEach(StandInDiscovery::close);
     standIns.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     othersOfB.shutdownGracefully(0, 0, TimeUnit.SECONDS);
--- a/src/test/java/pumicekeel/node/UpstreamTableTest.java
+++ b/src/test/java/pumicekeel/node/UpstreamTableTest.java
@@ -17,8 +17,8 @@
 import pumicekeel.Balancer.Listed;
 import pumicekeel.Balancer.State;
 import pumicekeel.discovery.HostList;
-import pumicekeel.upstream.ConnectionPool;
-import pumicekeel.upstream.UpstreamPool;
+import pumicekeel.upstream.http.ConnectionPool;
+import pumicekeel.upstream.http.UpstreamPool;
 import pumicekeel.upstream.UpstreamTable;
 
 /** What is remembered of upstreams that come and go all day. */
@@ -65,9 +65,9 @@
   void successorAtTheSameAddressInheritsNothing() {
     table.news(true, List.of(host(1, State.READY)), 1);
     table.news(false, List.of(host(1, State.DRAINING)), 2);
-    UpstreamPool before = table.get(1).pool();
+    UpstreamPool before = (UpstreamPool) table.get(1).link();
     table.news(false, List.of(host(2, State.READY)), 3);
-    UpstreamPool after = table.get(2).pool();
+    UpstreamPool after = (UpstreamPool) table.get(2).link();
     assertEquals(before.address(), after.address());
     assertFalse(before == after);
     assertEquals(0, table.get(2).leavingFor(9));
