--- /dev/null
+++ b/src/test/java/pumicekeel/node/RpcServersTest.java
@@ -0,0 +1,423 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import pumicekeel.jsonrpc.Framing;
+import pumicekeel.standin.StandInRpcClient;
+import pumicekeel.standin.StandInRpcServer;
+import pumicekeel.standin.StandInRpcServer.Seen;
+
+/** JSON-RPC servers that misbehave, and what their clients get: the servers' logs say what ran. */
+class RpcServersTest {
+
+  private static final long LONG = 20_000;
+
+  private final TestServices t = new TestServices();
+
+  @AfterEach
+  void stop() {
+    t.close();
+  }
+
+  private StandInRpcClient start(String pool, String... names) throws Exception {
+    for (String name : names) {
+      if (!t.servers.containsKey(name)) {
+        t.server(name);
+      }
+    }
+    t.start(RpcFiles.toServers(t, "framing = \"newline\"", pool, names));
+    return t.rpcClient("rpc", Framing.NEWLINE);
+  }
+
+  private static String result(String id, String n) {
+    return "{\"jsonrpc\":\"2.0\",\"result\":{\"account\":\"acme\",\"n\":" + n + "},\"id\":" + id + "}";
+  }
+
+  private static String issued(String id, String key) {
+    return "{\"jsonrpc\":\"2.0\",\"result\":{\"key\":\"" + key + "\"},\"id\":" + id + "}";
+  }
+
+  private static void assertFailed(String answer, String id) {
+    assertNotNull(answer);
+    assertTrue(answer.matches("\\{\"jsonrpc\":\"2.0\",\"error\":\\{\"code\":-32000,\"message\":\"[^\"]*\","
+        + "\"data\":\\{\"request\":\"[^\"]+\"}},\"id\":" + id + "}"), answer);
+  }
+
+  // ---- What a close leaves open -------------------------------------------------------------------------
+
+  @ParameterizedTest
+  @ValueSource(strings = {"rate.lookup", "quote.issue"})
+  void serverAnswersOneOfABatchAndClosesAndTheOtherIsTriedAgain(String answered) throws Exception {
+    StandInRpcServer server = t.server("s1");
+    StandInRpcClient client = start("", "s1");
+    List<Seen> first = new ArrayList<>();
+    server.script((call, c) -> {
+      if (first.size() >= 2) {
+        StandInRpcServer.ECHO.on(call, c);
+        return;
+      }
+      first.add(call);
+      if (first.size() == 2) {
+        first.stream().filter(f -> f.method().equals(answered)).forEach(f -> c.result(f.id(), f.params()));
+        c.close();
+      }
+    });
+    String batch = client.send("[" + RpcFiles.lookup("1", "7") + "," + RpcFiles.issue("\"1\"", "k") + "]").next(LONG);
+    assertEquals(Set.of(result("1", "7"), issued("\"1\"", "k")), entries(batch));
+    assertNull(client.next(100), "a second answer");
+    assertEquals(2, server.seen().stream().filter(s -> !s.method().equals(answered)).count(),
+        "the one without an answer went out twice");
+    assertEquals(1, server.seen().stream().filter(s -> s.method().equals(answered)).count());
+  }
+
+  /** Entries of an array that hold no comma between two objects within. */
+  private static Set<String> entries(String array) {
+    assertNotNull(array);
+    return new HashSet<>(List.of(array.substring(1, array.length() - 1).split("(?<=}),(?=\\{\"jsonrpc)")));
+  }
+
+  @Test
+  void keyedCallThatMayHaveRunStaysWithinItsGroup() throws Exception {
+    Set<String> ran = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    for (String name : List.of("a1", "b1", "c2", "d3")) {
+      t.server(name).script((call, c) -> {
+        if (call.method().equals("quote.issue")) {
+          ran.add(name);
+          c.close();
+        } else {
+          StandInRpcServer.ECHO.on(call, c);
+        }
+      });
+    }
+    StandInRpcClient client = start("limits = { max-attempts = 8 }", "a1", "b1", "c2", "d3");
+    for (int i = 0; i < 10; i++) {
+      ran.clear();
+      assertFailed(client.send(RpcFiles.issue("" + i, "key" + i)).next(LONG), "" + i);
+      Set<Character> groups = new HashSet<>();
+      ran.forEach(name -> groups.add(name.charAt(1)));
+      assertEquals(1, groups.size(), "ran at " + ran);
+    }
+  }
+
+  @Test
+  void safeCallIsTriedElsewhereWhenItsServerCloses() throws Exception {
+    AtomicInteger closed = new AtomicInteger();
+    for (String name : List.of("a1", "b2")) {
+      t.server(name).script((call, c) -> {
+        if (closed.getAndIncrement() == 0) {
+          c.reset();
+        } else {
+          StandInRpcServer.ECHO.on(call, c);
+        }
+      });
+    }
+    StandInRpcClient client = start("", "a1", "b2");
+    assertEquals(result("1", "7"), client.send(RpcFiles.lookup("1", "7")).next(LONG));
+    assertEquals(2, t.servers.values().stream().mapToInt(s -> s.seen().size()).sum());
+  }
+
+  // ---- Ids ----------------------------------------------------------------------------------------------
+
+  @Test
+  void answersInReverseFindTheirCalls() throws Exception {
+    List<Runnable> held = new ArrayList<>();
+    t.server("s1").script((call, c) -> {
+      held.add(() -> c.result(call.id(), call.params()));
+      if (held.size() == 20) {
+        for (int i = 19; i >= 0; i--) {
+          held.get(i).run();
+        }
+      }
+    });
+    StandInRpcClient client = start("", "s1");
+    for (int i = 0; i < 20; i++) {
+      client.send(RpcFiles.lookup("\"c" + i + "\"", "" + i));
+    }
+    Set<String> got = new HashSet<>();
+    Set<String> wanted = new HashSet<>();
+    for (int i = 0; i < 20; i++) {
+      got.add(client.next(LONG));
+      wanted.add(result("\"c" + i + "\"", "" + i));
+    }
+    assertEquals(wanted, got);
+    assertEquals(1, t.servers.get("s1").opened(), "they share one connection");
+    List<Long> ids = t.servers.get("s1").seen().stream().map(Seen::id).toList();
+    assertEquals(20, ids.stream().distinct().count(), "each with an id of its own");
+  }
+
+  @Test
+  void answerThatComesLateMeetsNoOtherCall() throws Exception {
+    List<Runnable> late = new ArrayList<>();
+    AtomicInteger calls = new AtomicInteger();
+    t.server("s1").script((call, c) -> {
+      if (calls.getAndIncrement() == 0) {
+        late.add(() -> c.result(call.id(), "\"late\""));
+        return;
+      }
+      // The late one first, on the connection that the next call came on too.
+      late.forEach(Runnable::run);
+      late.clear();
+      StandInRpcServer.ECHO.on(call, c);
+    });
+    StandInRpcClient client = start("limits = { max-attempts = 1 }", "s1");
+    String first = "{\"jsonrpc\":\"2.0\",\"method\":\"rate.lookup\",\"params\":{\"account\":\"acme\",\"left\":300},\"id\":1}";
+    String answer = client.send(first).next(LONG);
+    assertTrue(answer.contains("\"code\":-3200"), answer);
+    for (int i = 2; i < 6; i++) {
+      assertEquals(result("1", "" + i), client.send(RpcFiles.lookup("1", "" + i)).next(LONG));
+    }
+    assertTrue(late.isEmpty(), "the late answer was given");
+    assertNull(client.next(100));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"twice", "nobody's", "null", "text"})
+  void secondAnswerOrAnswerOfNobodysEndsTheConnectionAndMeetsNoOtherCall(String kind) throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    StandInRpcServer server = t.server("s1");
+    StandInRpcClient client = start("", "s1");
+    server.script((call, c) -> {
+      if (calls.getAndIncrement() == 0) {
+        switch (kind) {
+          case "twice" -> {
+            c.result(call.id(), call.params());
+            c.result(call.id(), "\"again\"");
+          }
+          case "nobody's" -> {
+            c.result(call.id() + 1, "\"of the next\"");
+            c.result(call.id(), call.params());
+          }
+          case "null" -> c.raw("{\"jsonrpc\":\"2.0\",\"error\":{\"code\":-32700,\"message\":\"?\"},\"id\":null}\n");
+          default -> c.raw("{\"jsonrpc\":\"2.0\",\"result\":1,\"id\":\"" + call.id() + "\"}\n");
+        }
+      } else {
+        StandInRpcServer.ECHO.on(call, c);
+      }
+    });
+    for (int i = 1; i < 5; i++) {
+      assertEquals(result("" + i, "" + i), client.send(RpcFiles.lookup("" + i, "" + i)).next(LONG), kind);
+    }
+    assertEquals(2, server.opened(), kind + ": a new connection was made");
+  }
+
+  @Test
+  void serverThatMixesIdsUpIsNotBelievedAfterIt() throws Exception {
+    // Two calls are out; the first gets the answer of the second, then the second its own once more: that one is the
+    // second answer to an id. What was answered by then can't be taken back; nothing after it is believed.
+    List<Seen> out = new ArrayList<>();
+    StandInRpcServer server = t.server("s1");
+    server.script((call, c) -> {
+      out.add(call);
+      if (out.size() == 2) {
+        c.result(out.get(1).id(), out.get(1).params());
+        c.result(out.get(1).id(), out.get(0).params());
+      } else if (out.size() > 2) {
+        StandInRpcServer.ECHO.on(call, c);
+      }
+    });
+    StandInRpcClient client = start("", "s1");
+    client.send(RpcFiles.lookup("1", "1")).send(RpcFiles.lookup("2", "2"));
+    Set<String> got = new HashSet<>(List.of(client.next(LONG), client.next(LONG)));
+    assertEquals(Set.of(result("1", "1"), result("2", "2")), got);
+    assertNull(client.next(100));
+  }
+
+  // ---- Answers that are none ----------------------------------------------------------------------------
+
+  @ParameterizedTest
+  @ValueSource(strings = {"half", "noise", "flood", "batch", "call", "deep", "utf8"})
+  void halfAnAnswerThenSilenceNoiseAndFloodsCostTheCallsOnTheConnectionOnly(String kind) throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    StandInRpcServer server = t.server("s1");
+    StandInRpcClient client = start("", "s1");
+    server.script((call, c) -> {
+      if (calls.getAndIncrement() > 0) {
+        StandInRpcServer.ECHO.on(call, c);
+        return;
+      }
+      switch (kind) {
+        case "half" -> c.raw("{\"jsonrpc\":\"2.0\",\"result\":{\"a\":");
+        case "noise" -> c.raw("HTTP/1.1 200 OK\r\n\r\n");
+        case "flood" -> c.flood(200L << 20);
+        case "batch" -> c.raw("[{\"jsonrpc\":\"2.0\",\"result\":1,\"id\":" + call.id() + "}]\n");
+        case "call" -> c.raw("{\"jsonrpc\":\"2.0\",\"method\":\"m\",\"id\":1}\n");
+        case "deep" -> c.raw("{\"jsonrpc\":\"2.0\",\"result\":" + "[".repeat(30_000) + "\n");
+        default -> c.raw("{\"jsonrpc\":\"2.0\",\"result\":\"\\ud800\",\"id\":" + call.id() + "}\n");
+      }
+    });
+    long start = System.nanoTime();
+    assertEquals(result("1", "7"), client.send(RpcFiles.lookup("1", "7")).next(LONG), kind);
+    long millis = (System.nanoTime() - start) / 1_000_000;
+    assertTrue(millis < 4_000, kind + " cost " + millis + " ms of the call's 6,000");
+    assertEquals(result("2", "8"), client.send(RpcFiles.lookup("2", "8")).next(LONG), kind);
+    assertEquals(List.of(), t.defects);
+  }
+
+  @Test
+  void notificationOfAServersIsPassedOver() throws Exception {
+    t.server("s1").script((call, c) -> {
+      c.raw("{\"jsonrpc\":\"2.0\",\"method\":\"progress\",\"params\":[50]}\n");
+      StandInRpcServer.ECHO.on(call, c);
+    });
+    StandInRpcClient client = start("", "s1");
+    assertEquals(result("1", "7"), client.send(RpcFiles.lookup("1", "7")).next(LONG));
+    assertEquals(result("2", "7"), client.send(RpcFiles.lookup("2", "7")).next(LONG));
+    assertEquals(1, t.servers.get("s1").opened());
+  }
+
+  // ---- Error objects ------------------------------------------------------------------------------------
+
+  @Test
+  void errorOfTheApplicationIsTheAnswerAndServersFailuresAreTriedAgain() throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    StandInRpcServer server = t.server("s1");
+    server.script((call, c) -> {
+      calls.incrementAndGet();
+      c.raw("{\"jsonrpc\":\"2.0\",\"error\":{\"code\":1004,\"message\":\"no \\u20b8 rate\",\"data\":{\"a\":[1.0]}},\"id\":"
+          + call.id() + "}\n");
+    });
+    StandInRpcClient client = start("json-rpc = { not-run-codes = [-32050] }", "s1");
+    assertEquals("{\"jsonrpc\":\"2.0\",\"error\":{\"code\":1004,\"message\":\"no \\u20b8 rate\",\"data\":{\"a\":[1.0]}},"
+        + "\"id\":1}", client.send(RpcFiles.lookup("1", "7")).next(LONG));
+    assertEquals(1, calls.get(), "what the application said is final");
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {-32603, -32000, -32050})
+  void failureOfTheServerIsTriedAgain(int code) throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    t.server("s1").script((call, c) -> {
+      if (calls.getAndIncrement() == 0) {
+        c.error(call.id(), code, "not now");
+      } else {
+        StandInRpcServer.ECHO.on(call, c);
+      }
+    });
+    StandInRpcClient client = start("json-rpc = { not-run-codes = [-32050] }", "s1");
+    assertEquals(result("2", "7"), client.send(RpcFiles.lookup("2", "7")).next(LONG));
+    assertEquals(2, calls.get());
+  }
+
+  @Test
+  void codeThatProvesThatNothingRanIsARefusalAndAnyOtherFailureIsNone() throws Exception {
+    StandInRpcServer server = t.server("s1");
+    StandInRpcClient client = start("json-rpc = { not-run-codes = [-32050] }", "s1");
+    server.script((call, c) -> c.error(call.id(), -32050, "full"));
+    String refused = client.send(RpcFiles.issue("3", "k3")).next(LONG);
+    assertTrue(refused.contains("\"code\":-32001"), refused);
+  }
+
+  @Test
+  void keyedCallThatFailedAtItsServerIsNotCalledRefused() throws Exception {
+    t.server("s1").script((call, c) -> c.error(call.id(), -32603, "broken"));
+    StandInRpcClient client = start("", "s1");
+    assertFailed(client.send(RpcFiles.issue("4", "k4")).next(LONG), "4");
+  }
+
+  @Test
+  void refusalIsAnErrorObjectWithAnAdviceAndComesAtOnce() throws Exception {
+    t.server("s1").script((call, c) -> c.error(call.id(), -32050, "full"));
+    StandInRpcClient client = start("json-rpc = { not-run-codes = [-32050] }", "s1");
+    String answer = client.send(RpcFiles.lookup("1", "7")).next(LONG);
+    assertTrue(answer.matches("\\{\"jsonrpc\":\"2.0\",\"error\":\\{\"code\":-32001,\"message\":\"[^\"]*\"(,"
+        + "\"data\":\\{\"retryAfterMs\":[0-9]{1,4}})?},\"id\":1}"), answer);
+  }
+
+  // ---- Other protocols ----------------------------------------------------------------------------------
+
+  @Test
+  void httpClientsReachJsonRpcServers() throws Exception {
+    StandInRpcServer server = t.server("s1", Framing.CONTENT_LENGTH);
+    t.start("[sources.s]\nstatic = " + t.list("s1") + "\n[pools.p]\nsource = \"s\"\nprotocol = \"json-rpc\"\n"
+        + "json-rpc = { framing = \"content-length\", methods = { rate-lookup = \"rate.lookup\" } }\n"
+        + "[[routes]]\npool = \"p\"\n");
+    try (TestClient client = new TestClient(t.address)) {
+      TestClient.Reply found = client.call(ServicesTest.lookup("1", "h", "").replace("/rate-lookup/7", "/rate-lookup/7?c=KZT"));
+      assertEquals(200, found.status());
+      assertEquals("{\"path\":\"/7\",\"c\":\"KZT\"}", found.body());
+      TestClient.Reply none = client.call(ServicesTest.issue("2", "k", "h"));
+      assertEquals(400, none.status());
+      TestClient.Reply issued = client.call(ServicesTest.issue("3", "k", "h").replace("body", "{}  "));
+      assertEquals(200, issued.status());
+      assertEquals("{\"idempotencyKey\":\"k\"}", issued.body());
+      server.script((call, c) -> c.error(call.id(), 5, "no such quote"));
+      TestClient.Reply error = client.call(ServicesTest.lookup("4", "h", ""));
+      assertEquals(422, error.status());
+      assertEquals("{\"code\":5,\"message\":\"no such quote\"}", error.body());
+    }
+    assertEquals(List.of("rate.lookup", "quote-issue", "rate.lookup"),
+        server.seen().stream().map(Seen::method).toList());
+  }
+
+  @Test
+  void callsReachHttpServersAndTheirAnswersAreResults() throws Exception {
+    t.upstream("u1", 0);
+    t.start(RpcFiles.toHttp(t, "framing = \"newline\"", "", "u1"));
+    StandInRpcClient client = t.rpcClient("rpc", Framing.NEWLINE);
+    // The stand-in answers with the request's id, which is the balancer's own name for the call.
+    String answer = client.send(RpcFiles.lookup("1", "7")).next(LONG);
+    assertTrue(answer.matches("\\{\"jsonrpc\":\"2.0\",\"result\":\"n0-[0-9a-z]+-1\",\"id\":1}"), answer);
+    client.send(RpcFiles.issue("2", "k2")).next(LONG);
+    var seen = t.upstreams.get("u1").seen();
+    assertEquals("k2", seen.get(1).key());
+    assertEquals("{\"key\":\"k2\"}", seen.get(1).body());
+    assertEquals("quote-issue", seen.get(1).className());
+    String tooLong = "{\"jsonrpc\":\"2.0\",\"method\":\"rate.lookup\",\"params\":{\"account\":\"acme\",\"x\":\""
+        + "x".repeat(5_000) + "\"},\"id\":3}";
+    assertTrue(client.send(tooLong).next(LONG).contains("-32602"));
+    assertEquals(2, t.upstreams.get("u1").seen().size());
+  }
+
+  @Test
+  void fakeHttpServerMakesJsonResultsAndWhatIsNoJsonIsAFailure() throws Exception {
+    for (String body : List.of("{\"a\":[1.0,\"\\u00e9\"]}", "not json", "{\"a\":1,\"a\":2}")) {
+      try (FakeServer http = new FakeServer((request, connection, out) -> FakeServer.write(out,
+          "HTTP/1.1 200 OK\r\nContent-Type: application/json; charset=utf-8\r\nContent-Length: " + body.length()
+              + "\r\n\r\n" + body)); TestServices own = new TestServices()) {
+        own.start("[listeners.rpc]\naddress = \"127.0.0.1:0\"\nprotocol = \"json-rpc\"\n" + RpcFiles.METHODS
+            + "[sources.s]\nstatic = [{ name = \"u\", address = \"" + TestServices.text(http.address())
+            + "\" }]\n[pools.p]\nsource = \"s\"\n[[routes]]\npool = \"p\"\n");
+        StandInRpcClient client = own.rpcClient("rpc", Framing.VALUES);
+        String answer = client.send(RpcFiles.lookup("1", "7")).next(LONG);
+        if (body.startsWith("{\"a\":[")) {
+          assertEquals("{\"jsonrpc\":\"2.0\",\"result\":" + body + ",\"id\":1}", answer);
+        } else {
+          assertFailed(answer, "1");
+        }
+      }
+    }
+  }
+
+  @Test
+  void limitOnCallsOfAConnectionOpensAnother() throws Exception {
+    List<Runnable> held = new ArrayList<>();
+    StandInRpcServer server = t.server("s1");
+    server.script((call, c) -> held.add(() -> c.result(call.id(), call.params())));
+    StandInRpcClient client = start("json-rpc = { calls-per-connection = 3 }", "s1");
+    for (int i = 0; i < 9; i++) {
+      client.send(RpcFiles.lookup("" + i, "" + i));
+    }
+    TestNode.until(() -> server.seen().size() == 9);
+    assertEquals(3, server.opened());
+    for (int connection = 1; connection <= 3; connection++) {
+      int n = connection;
+      assertEquals(3, server.seen().stream().filter(s -> s.connection() == n).count());
+    }
+    t.standIns.submit(() -> List.copyOf(held).forEach(Runnable::run)).sync();
+    for (int i = 0; i < 9; i++) {
+      assertNotNull(client.next(LONG));
+    }
+  }
+}
