fuzz, call and measure jsonrpc; a busy connection does not give way at the limit

It found that a message could be answered out of turn where reading resumed from within a read, and that a cut message was told more than once; the run of 1,000 connections found that at the connection limit one that had been busy a moment ago was closed under its next call: now only after 250 ms.

--- a/src/main/java/pumicekeel/cli/Commands.java
+++ b/src/main/java/pumicekeel/cli/Commands.java
@@ -10,7 +10,8 @@
 @Command(name = "pumicekeel", mixinStandardHelpOptions = true, version = Commands.VERSION,
     description = "A load balancer for HTTP upstreams.",
     subcommands = {ServeCommand.class, Commands.Rehearse.class, Commands.Adapter.class, CheckCommand.class,
-        RoutesCommand.class, DemoCommand.class, JournalCommand.class, MeasureCommand.class})
+        RoutesCommand.class, DemoCommand.class, JournalCommand.class, MeasureCommand.class,
+        FuzzCommand.class, CallCommand.class})
 final class Commands implements Callable<Integer> {
 
   /** As in pom.xml; a test holds the two together. */
--- a/src/main/java/pumicekeel/cli/MeasureCommand.java
+++ b/src/main/java/pumicekeel/cli/MeasureCommand.java
@@ -15,11 +15,12 @@
 @Command(name = "measure", mixinStandardHelpOptions = true,
     description = "Measure on loopback. relay: against a bare relay, without and with an operator file; isolation: one"
         + " pool's p99 beside another in trouble; pools: start and memory by pools; versus: against another build's jar; journal: keyed requests with"
-        + " none, process and host; writer: the journal's writer, query and recovery alone.")
+        + " none, process and host; writer: the journal's writer, query and recovery alone; jsonrpc: calls against a"
+        + " relay that only frames and against HTTP.")
 final class MeasureCommand implements Callable<Integer> {
 
   /** What can be measured. */
-  enum What { relay, isolation, pools, versus, journal, writer }
+  enum What { relay, isolation, pools, versus, journal, writer, jsonrpc }
 
   @Parameters(index = "0", paramLabel = "WHAT", description = "One of ${COMPLETION-CANDIDATES}.")
   private What what;
@@ -63,6 +64,7 @@
         case isolation -> measure.isolation();
         case pools -> measure.pools(jar, flags);
         case journal -> measure.journal();
+        case jsonrpc -> measure.jsonRpc();
         case writer -> measure.journalAlone(mebibytes);
         case versus -> measure.versus(jar, other, flags);
       }
--- a/src/main/java/pumicekeel/config/RpcReader.java
+++ b/src/main/java/pumicekeel/config/RpcReader.java
@@ -138,7 +138,7 @@
     int at = 0;
     for (int open = text.indexOf('{'); open >= 0; open = text.indexOf('{', at)) {
       int close = text.indexOf('}', open);
-      if (close < 0) {
+      if (close < 0 || text.substring(open + 1, close).indexOf('{') >= 0) {
         s.fault("path", "expected } behind each {, got \"" + text + "\"");
         return out;
       }
--- a/src/main/java/pumicekeel/demo/RpcDemo.java
+++ b/src/main/java/pumicekeel/demo/RpcDemo.java
@@ -129,7 +129,7 @@
          "contract":{"drain-grace-ns":2000000000,"answer-slack-ns":8000000,"cold-from":0.3,
           "warm-within-ns":8000000000,"overload-for-ns":3000000000,"fall-multiple":3.0}}
         """);
-    return new Configuration("demo", Addresses.parse("listen", "127.0.0.1:0"), discovery.address(), 1, 4_096,
+    return new Configuration("demo", Addresses.parse("listen", "127.0.0.1:0"), discovery.address(), 1, 16_384,
         new HostList(0, true, List.of()), Decoder.settings(settings));
   }
 
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcClient.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcClient.java
@@ -44,6 +44,8 @@
   private static final long LINGER_MILLIS = 500;
   /** At a drain, after the last answer: a call that was under way is still told to go elsewhere. */
   private static final long QUIET_MILLIS = 200;
+  /** Longer than a call takes on its way here: what meets a close on the way has no answer. */
+  private static final long GIVE_WAY_NANOS = 250_000_000L;
   /** What an HTTP server's text becomes a string of. */
   private static final MessageReader RESULTS = new MessageReader(new Limits(Answer.MAX_BODY, 62, 1));
 
@@ -86,6 +88,11 @@
     return calls.size();
   }
 
+  /** Whether it may be closed to make room: one that was busy just now is likely to ask again this moment. */
+  boolean mayGiveWay(long now) {
+    return idle() && now - busyAt > GIVE_WAY_NANOS;
+  }
+
   boolean idle() {
     return calls.isEmpty() && batches.isEmpty() && !decoder.holdsBytes() && !finishing;
   }
@@ -107,16 +114,16 @@
     partSince = 0;
     busyAt = System.nanoTime();
     if (frame instanceof Frame.Fault fault) {
-      refuseMessage(fault.code(), fault.why());
-      readNoMore();
+      endWith(fault.code(), fault.why());
       return;
     }
     Message message = reader.read(((Frame.Whole) frame).bytes());
     if (message instanceof Message.Broken b) {
-      refuseMessage(b.code(), b.why());
       // Behind JSON that is none, the next value's beginning is a guess, unless something else tells it.
       if (++broken >= MOST_BROKEN || b.code() == Codes.PARSE && decoder.framing() == Framing.VALUES) {
-        readNoMore();
+        endWith(b.code(), b.why());
+      } else {
+        refuseMessage(b.code(), b.why());
       }
     } else if (message instanceof Message.One one) {
       one(one.entry());
@@ -320,6 +327,9 @@
       partSince = 0;
     }
     context.channel().config().setAutoRead(takes || finishing);
+    if (inputOver) {
+      goOnLater();
+    }
     finishIfDone();
   }
 
@@ -338,12 +348,13 @@
     }
     try {
       if (takesMore()) {
-        decoder.resume();
+        if (!decoder.resume()) {
+          return;
+        }
         ctx.channel().config().setAutoRead(takesMore());
       }
       if (inputOver && decoder.holdsBytes() && takesMore()) {
-        refuseMessage(Codes.PARSE, "cut short");
-        readNoMore();
+        endWith(Codes.PARSE, "cut short");
       }
     } catch (Exception e) {
       exceptionCaught(ctx, e);
@@ -351,9 +362,11 @@
     finishIfDone();
   }
 
-  private void readNoMore() {
+  /** Answers what can't be read, and reads no more; what is open is still answered. */
+  private void endWith(int code, String why) {
     readsNoMore = true;
     decoder.discard();
+    refuseMessage(code, why);
     finishIfDone();
   }
 
@@ -403,8 +416,7 @@
       ctx.close();
     } else if (partSince != 0 && now - partSince > RpcSide.MESSAGE_NANOS && !readsNoMore && !finishing) {
       partSince = 0;
-      refuseMessage(Codes.INVALID_REQUEST, "the message took too long");
-      readNoMore();
+      endWith(Codes.INVALID_REQUEST, "the message took too long");
     } else if (idle() && (now - busyAt > settings.idleNanos()
         || side.draining() && now - busyAt > TimeUnit.MILLISECONDS.toNanos(QUIET_MILLIS))) {
       finish();
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
@@ -129,7 +129,8 @@
   private void opened(RpcClient client) {
     connections.add(client);
     if (connections.size() >= most) {
-      connections.stream().filter(c -> c != client && c.idle()).findFirst()
+      long now = System.nanoTime();
+      connections.stream().filter(c -> c != client && c.mayGiveWay(now)).findFirst()
           .ifPresentOrElse(RpcClient::finish, () -> listener.config().setAutoRead(false));
     }
   }
@@ -156,7 +157,7 @@
     long now = System.nanoTime();
     List.copyOf(connections).forEach(c -> c.look(now));
     if (connections.size() >= most) {
-      connections.stream().filter(RpcClient::idle).findFirst().ifPresent(RpcClient::finish);
+      connections.stream().filter(c -> c.mayGiveWay(now)).findFirst().ifPresent(RpcClient::finish);
     }
   }
 
--- a/src/main/java/pumicekeel/jsonrpc/FrameDecoder.java
+++ b/src/main/java/pumicekeel/jsonrpc/FrameDecoder.java
@@ -26,6 +26,7 @@
   private int scanned;
   private int length = -1;
   private boolean broken;
+  private boolean reading;
   private ChannelHandlerContext ctx;
 
   public FrameDecoder(Framing framing, Limits limits, BooleanSupplier open) {
@@ -63,12 +64,25 @@
     }
   }
 
-  /** Goes on with what is held. On the loop. */
-  public void resume() throws Exception {
-    if (holdsBytes() && ctx != null && !ctx.isRemoved()) {
+  /** One read is gone through before another: its messages are in order. */
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    boolean within = reading;
+    reading = true;
+    try {
+      super.channelRead(context, message);
+    } finally {
+      reading = within;
+    }
+  }
+
+  /** Goes on with what is held; false from within a read, which goes on by itself. On the loop. */
+  public boolean resume() throws Exception {
+    if (!reading && holdsBytes() && ctx != null && !ctx.isRemoved()) {
       channelRead(ctx, Unpooled.EMPTY_BUFFER);
       channelReadComplete(ctx);
     }
+    return !reading;
   }
 
   @Override
--- a/src/main/java/pumicekeel/measure/Measure.java
+++ b/src/main/java/pumicekeel/measure/Measure.java
@@ -66,7 +66,7 @@
     return new Rate(served / taken, load.latency().getValueAtPercentile(99) / 1e3, load.asked() - load.count(End.SERVED));
   }
 
-  private static String median(List<Double> values) {
+  static String median(List<Double> values) {
     List<Double> sorted = new ArrayList<>(values);
     sorted.sort(null);
     return String.format("%.3f (%.3f to %.3f)", sorted.get(sorted.size() / 2), sorted.get(0),
@@ -361,6 +361,11 @@
     }
   }
 
+  /** Calls through the JSON-RPC front, against a relay that only frames and against the HTTP front. */
+  public void jsonRpc() throws Exception {
+    new RpcMeasure(out, seconds, rounds, standIns, clients).run();
+  }
+
   /** The writer alone against a plain sequential write, then a query and a start's reading of what it wrote. */
   public void journalAlone(int mebibytes) throws Exception {
     Path folder = Files.createTempDirectory("measure");
