--- /dev/null
+++ b/src/main/java/pumicekeel/cli/SimCommand.java
@@ -0,0 +1,118 @@
+package pumicekeel.cli;
+
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+import pumicekeel.sim.FleetSim;
+
+/** Simulations of the project's own, in virtual time; the platform's simulator speaks to {@code adapter}. */
+@Command(name = "sim", mixinStandardHelpOptions = true, description = "Simulate in virtual time, by a seed.",
+    subcommands = SimCommand.Fleet.class)
+final class SimCommand implements Callable<Integer> {
+
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    throw new ParameterException(spec.commandLine(), "expected a command");
+  }
+
+  /** The membership of a fleet. */
+  @Command(name = "fleet", mixinStandardHelpOptions = true,
+      description = "The membership of a whole fleet on a network that loses, repeats, delays, cuts and splits, with members"
+          + " that die, return, sleep and have their clocks set back. Without --detect: faults by the seed, then quiet, then"
+          + " every view has to be the truth. With it: how long a death takes to be seen, and what membership costs at rest.",
+      footer = {"Exit status: 0 where all held, 1 at the first seed that did not; its line says how to repeat it."})
+  static final class Fleet implements Callable<Integer> {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final int LEAST = 3;
+    private static final int SPREAD = 18;
+    private static final int KILLS = 10;
+
+    @Option(names = "--seed", paramLabel = "S", defaultValue = "1", description = "The first seed. Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(names = "--runs", paramLabel = "N", defaultValue = "1",
+        description = "Seeds from the first on, 1 to 10000000. Default: ${DEFAULT-VALUE}.")
+    private long runs;
+
+    @Option(names = "--size", paramLabel = "N",
+        description = "Members, 3 to 1000. Default: 3 to 20 by the seed; with --detect 3, 20, 100 and 1000.")
+    private Integer size;
+
+    @Option(names = "--detect", description = "Measure detection and cost instead.")
+    private boolean detect;
+
+    @Option(names = "--loss", paramLabel = "PART", defaultValue = "0",
+        description = "With --detect: the part of datagrams that is lost, 0 to 0.9. Default: ${DEFAULT-VALUE}.")
+    private double loss;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+      if (runs < 1 || runs > 10_000_000 || size != null && (size < LEAST || size > 1_000) || loss < 0 || loss > 0.9) {
+        throw new ParameterException(spec.commandLine(),
+            "expected --runs 1 to 10000000, --size 3 to 1000, --loss 0 to 0.9");
+      }
+      PrintWriter out = spec.commandLine().getOut();
+      return detect ? measure(out) : play(out);
+    }
+
+    private int play(PrintWriter out) {
+      long step = Math.max(1, runs / 20);
+      for (long i = 0; i < runs; i++) {
+        long s = seed + i;
+        FleetSim.Report r = new FleetSim(s, size == null ? LEAST + (int) Math.floorMod(s * 7, (long) SPREAD) : size).faults();
+        if (r.fault() != null) {
+          out.println("seed " + s + ": " + r.fault());
+          return 1;
+        }
+        if (runs > 1 && (i + 1) % step == 0) {
+          out.println(i + 1 + " of " + runs);
+          out.flush();
+        }
+      }
+      out.println(runs + " runs from seed " + seed + ": every view was the truth");
+      return 0;
+    }
+
+    private int measure(PrintWriter out) {
+      out.println("members  first sees it s  all see it s  false deaths  bytes/s a member  datagrams/s a member");
+      for (int n : size == null ? new int[] {3, 20, 100, 1_000} : new int[] {size}) {
+        List<Long> first = new ArrayList<>();
+        List<Long> all = new ArrayList<>();
+        long falseDeaths = 0;
+        double bytes = 0;
+        double datagrams = 0;
+        int fleets = n >= 1_000 ? 1 : n >= 100 ? 3 : KILLS;
+        for (int i = 0; i < fleets; i++) {
+          FleetSim.Report r = new FleetSim(seed + i, n).detection(loss, n >= 1_000 ? 2 : 1, 60 * SECOND);
+          first.addAll(r.firstDetections());
+          all.addAll(r.allDetections());
+          falseDeaths += r.falseDeaths();
+          bytes += r.bytes() * 1e9 / r.virtualNanos() / n / fleets;
+          datagrams += r.datagrams() * 1e9 / r.virtualNanos() / n / fleets;
+        }
+        out.printf("%7d  %15s  %12s  %12d  %16.0f  %20.1f%n", n, spread(first), spread(all), falseDeaths, bytes, datagrams);
+        out.flush();
+      }
+      return 0;
+    }
+
+    private static String spread(List<Long> nanos) {
+      List<Long> sorted = nanos.stream().sorted().toList();
+      return String.format("%.1f (%.1f-%.1f)", sorted.get(sorted.size() / 2) / 1e9, sorted.get(0) / 1e9,
+          sorted.get(sorted.size() - 1) / 1e9);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/peers/Membership.java
@@ -0,0 +1,458 @@
+package pumicekeel.peers;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import pumicekeel.peers.Datagram.Kind;
+
+/**
+ * One member's part in SWIM with Lifeguard's refinements: who of a fixed list of peers is there. No I/O; times are readings
+ * of one clock in nanoseconds; the seed is the only chance. Members are numbers of the list, so a stranger can't join; a life
+ * of a member is told by its boot epoch, so what was said of an earlier life counts for nothing.
+ */
+public final class Membership {
+
+  /** Where a datagram is to go. */
+  public record Out(int to, byte[] bytes) {}
+
+  /** A probe that waits. */
+  private static final class Probe {
+    private final int target;
+    private final long sequence;
+    private final long sentAt;
+    private boolean helped;
+    private int nacksDue;
+
+    private Probe(int target, long sequence, long sentAt) {
+      this.target = target;
+      this.sequence = sequence;
+      this.sentAt = sentAt;
+    }
+  }
+
+  /** A probe made for somebody else. */
+  private record Errand(int asker, long theirSequence, int target, long sequence, long until) {}
+
+  private static final class Suspicion {
+    private final long since;
+    private final Set<Integer> from = new HashSet<>();
+
+    private Suspicion(long since, int by) {
+      this.since = since;
+      from.add(by);
+    }
+  }
+
+  /** A rumour and how often it was passed on. */
+  private static final class Told {
+    private final Rumour rumour;
+    private int times;
+
+    private Told(Rumour rumour) {
+      this.rumour = rumour;
+    }
+  }
+
+  /** Errands at once; a flood of requests must not become a flood of probes. */
+  private static final int MOST_ERRANDS = 64;
+  /** The part of the probe time after which a helper says that it heard nothing (Lifeguard, section IV.A). */
+  private static final double NACK_PART = 0.8;
+
+  private final MembershipSettings settings;
+  private final int self;
+  private final int size;
+  private final SplittableRandom random;
+  private final Rumour[] table;
+  private final Map<Integer, Suspicion> suspicions = new HashMap<>();
+  private final Map<Integer, Told> news = new HashMap<>();
+  private final List<Errand> errands = new ArrayList<>();
+  private final int[] round;
+  private int place;
+  private Probe probe;
+  private long periodEnds;
+  private long syncAt;
+  private int syncFrom;
+  private long sequence;
+  private int health;
+  private long received;
+  private long discarded;
+  private long falseSuspicions;
+  private final List<Out> out = new ArrayList<>();
+
+  /** The member of this number in a list of so many; {@code epoch}: the wall clock in milliseconds at the start. */
+  public Membership(MembershipSettings settings, int self, int size, long epoch, long seed, long now) {
+    if (size < 1 || size > Datagram.MOST_MEMBERS || self < 0 || self >= size) {
+      throw new IllegalArgumentException("members: expected 1 to " + Datagram.MOST_MEMBERS + ", got " + self + " of " + size);
+    }
+    this.settings = settings;
+    this.self = self;
+    this.size = size;
+    random = new SplittableRandom(seed);
+    table = new Rumour[size];
+    for (int i = 0; i < size; i++) {
+      table[i] = new Rumour(i, State.UNKNOWN, 0, 0);
+    }
+    table[self] = new Rumour(self, State.ALIVE, Math.max(0, Math.min(epoch, Datagram.MOST_EPOCH - 1)), 0);
+    round = new int[size];
+    for (int i = 0; i < size; i++) {
+      round[i] = i;
+    }
+    place = size;
+    // Members that start together do not probe together.
+    periodEnds = now + random.nextLong(settings.periodNanos());
+    syncAt = now + random.nextLong(settings.syncNanos());
+    tell(table[self]);
+  }
+
+  // ---- What is known ------------------------------------------------------------------------------------
+
+  /** What is held of a member. */
+  public State stateOf(int member) {
+    return table[member].state();
+  }
+
+  public Rumour rumourOf(int member) {
+    return table[member];
+  }
+
+  /** Members that are alive or suspected, this one among them: a suspicion is no proof. */
+  public int live() {
+    return (int) Arrays.stream(table).filter(r -> r.state() == State.ALIVE || r.state() == State.SUSPECT).count();
+  }
+
+  /** Members of which nothing was ever heard. */
+  public int unknown() {
+    return (int) Arrays.stream(table).filter(r -> r.state() == State.UNKNOWN).count();
+  }
+
+  /** The numbers of those that are alive or suspected. */
+  public BitSet liveSet() {
+    BitSet set = new BitSet(size);
+    for (Rumour r : table) {
+      set.set(r.member(), r.state() == State.ALIVE || r.state() == State.SUSPECT);
+    }
+    return set;
+  }
+
+  /** Lifeguard's score of this member's own health: 0 for well. */
+  public int health() {
+    return health;
+  }
+
+  /** Datagrams that were none, or came from another member's address. */
+  public long discarded() {
+    return discarded;
+  }
+
+  /** Suspicions of this member that it had to take back. */
+  public long refuted() {
+    return falseSuspicions;
+  }
+
+  public long received() {
+    return received;
+  }
+
+  // ---- Time ---------------------------------------------------------------------------------------------
+
+  /** When {@link #tick} has something to do, at the latest. */
+  public long nextAt() {
+    long next = Math.min(periodEnds, syncAt);
+    if (probe != null && !probe.helped) {
+      next = Math.min(next, probe.sentAt + probeTime());
+    }
+    for (Errand e : errands) {
+      next = Math.min(next, e.until());
+    }
+    for (Map.Entry<Integer, Suspicion> s : suspicions.entrySet()) {
+      next = Math.min(next, endOf(s.getValue()));
+    }
+    return next;
+  }
+
+  private long probeTime() {
+    return settings.probeNanos() * (health + 1);
+  }
+
+  /** Does what is due, and hands over what is to be sent. */
+  public List<Out> tick(long now) {
+    if (probe != null && !probe.helped && now - probe.sentAt >= probeTime()) {
+      askForHelp();
+    }
+    for (Iterator<Errand> it = errands.iterator(); it.hasNext();) {
+      Errand e = it.next();
+      if (now - e.until() >= 0) {
+        it.remove();
+        send(e.asker(), Kind.NACK, e.theirSequence(), e.target());
+      }
+    }
+    endSuspicions(now);
+    if (now - periodEnds >= 0) {
+      endPeriod(now);
+    }
+    if (now - syncAt >= 0) {
+      syncAt = now + settings.syncNanos() / 2 + random.nextLong(settings.syncNanos());
+      sync();
+    }
+    return taken();
+  }
+
+  private List<Out> taken() {
+    List<Out> taken = List.copyOf(out);
+    out.clear();
+    return taken;
+  }
+
+  private void endPeriod(long now) {
+    if (probe != null) {
+      health = Math.min(settings.healthMost(), health + 1 + probe.nacksDue);
+      Rumour of = table[probe.target];
+      if (of.state() == State.ALIVE || of.state() == State.SUSPECT) {
+        suspect(new Rumour(of.member(), State.SUSPECT, of.epoch(), of.incarnation()), self, now);
+      }
+      probe = null;
+    }
+    // A clock that jumped or a process that slept starts a new period now, and not as many as it missed.
+    periodEnds = now + settings.periodNanos() * (health + 1);
+    int target = next();
+    if (target >= 0) {
+      probe = new Probe(target, ++sequence & 0xffffffffL, now);
+      send(target, Kind.PING, probe.sequence, target);
+    }
+  }
+
+  /** The next of a shuffled round of all that are not dead; members never heard of are asked too, without a consequence. */
+  private int next() {
+    for (int tries = 0; tries < 2 * size; tries++) {
+      if (place == size) {
+        place = 0;
+        for (int i = size - 1; i > 0; i--) {
+          int j = random.nextInt(i + 1);
+          int t = round[i];
+          round[i] = round[j];
+          round[j] = t;
+        }
+      }
+      int member = round[place++];
+      if (member != self && table[member].state() != State.DEAD) {
+        return member;
+      }
+    }
+    return -1;
+  }
+
+  private void askForHelp() {
+    probe.helped = true;
+    List<Integer> helpers = new ArrayList<>();
+    for (int i = 0; i < size && helpers.size() < settings.helpers(); i++) {
+      int member = random.nextInt(size);
+      if (member != self && member != probe.target && table[member].state() == State.ALIVE && !helpers.contains(member)) {
+        helpers.add(member);
+      }
+    }
+    probe.nacksDue = helpers.size();
+    helpers.forEach(h -> send(h, Kind.PING_REQUEST, probe.sequence, probe.target));
+  }
+
+  /** A page of the table goes to any member, dead and unknown ones too: so partitions heal and late ones catch up. */
+  private void sync() {
+    if (size == 1) {
+      return;
+    }
+    int to = random.nextInt(size - 1);
+    send(to >= self ? to + 1 : to, Kind.SYNC, 0, self);
+  }
+
+  private List<Rumour> page() {
+    List<Rumour> page = new ArrayList<>(Datagram.MOST_RUMOURS);
+    for (int i = 0; i < size && page.size() < Datagram.MOST_RUMOURS; i++) {
+      syncFrom = (syncFrom + 1) % size;
+      if (table[syncFrom].state() != State.UNKNOWN) {
+        page.add(table[syncFrom]);
+      }
+    }
+    return page;
+  }
+
+  // ---- Suspicion ----------------------------------------------------------------------------------------
+
+  private double log() {
+    return Math.max(1, Math.log10(Math.max(1, live())));
+  }
+
+  /** Lifeguard, section IV.B: from the longest time to the least as independent suspicions come. */
+  private long endOf(Suspicion s) {
+    double least = settings.suspicionLeast() * log() * settings.periodNanos();
+    double most = settings.suspicionMost() * least;
+    // No more confirm than there are others beside the suspect and the first; where nobody can, the least it is.
+    int wanted = Math.min(settings.confirmations(), live() - 3);
+    int confirmed = Math.min(wanted, s.from.size() - 1);
+    double part = wanted <= 0 ? 1 : Math.log(confirmed + 1) / Math.log(wanted + 1);
+    return s.since + (long) Math.max(least, most - (most - least) * part);
+  }
+
+  private void endSuspicions(long now) {
+    List<Integer> over = new ArrayList<>();
+    suspicions.forEach((member, s) -> {
+      if (now - endOf(s) >= 0) {
+        over.add(member);
+      }
+    });
+    for (int member : over) {
+      suspicions.remove(member);
+      Rumour r = table[member];
+      if (r.state() == State.SUSPECT) {
+        set(new Rumour(member, State.DEAD, r.epoch(), r.incarnation()));
+      }
+    }
+  }
+
+  private void suspect(Rumour rumour, int by, long now) {
+    Suspicion known = suspicions.get(rumour.member());
+    Rumour held = table[rumour.member()];
+    boolean same = held.epoch() == rumour.epoch() && held.incarnation() == rumour.incarnation();
+    if (held.state() == State.SUSPECT && same && known != null) {
+      // Passed on again only while it adds something: the K first, as the paper has it.
+      if (known.from.size() <= settings.confirmations() && known.from.add(by)) {
+        tell(rumour);
+      }
+    } else if (rumour.overrides(held)) {
+      suspicions.put(rumour.member(), new Suspicion(now, by));
+      set(rumour);
+    }
+  }
+
+  // ---- Messages -----------------------------------------------------------------------------------------
+
+  /** Takes a datagram that came from the address of a member, and hands over what is to be sent. */
+  public List<Out> receive(int from, byte[] bytes, long now) {
+    Datagram d = Datagram.of(bytes, size);
+    if (d == null || d.from() != from || from == self) {
+      discarded++;
+      return List.of();
+    }
+    Rumour held = table[from];
+    Rumour says = new Rumour(from, State.ALIVE, d.epoch(), d.incarnation());
+    if (d.epoch() < held.epoch()) {
+      // From an earlier life, or replayed: it says nothing of now, and nothing is done for it but to tell its writer.
+      discarded++;
+      if (d.kind() == Kind.PING || d.kind() == Kind.SYNC) {
+        sendWith(from, Kind.NACK, d.sequence(), d.target(), List.of(held));
+        return taken();
+      }
+      return List.of();
+    }
+    received++;
+    if (says.overrides(held)) {
+      suspicions.remove(from);
+      set(says);
+    }
+    d.rumours().forEach(r -> hear(r, from, now));
+    answer(d, now);
+    return taken();
+  }
+
+  private void hear(Rumour r, int by, long now) {
+    if (r.member() == self) {
+      hearOfSelf(r);
+    } else if (r.state() == State.SUSPECT) {
+      suspect(r, by, now);
+    } else if (r.overrides(table[r.member()])) {
+      suspicions.remove(r.member());
+      set(r);
+    }
+  }
+
+  /** Somebody holds this member for suspect or dead, or knows a later life of it: it says otherwise, above that. */
+  private void hearOfSelf(Rumour r) {
+    Rumour mine = table[self];
+    if (r.epoch() > mine.epoch()) {
+      // A clock set back at the restart: the number of this life has to be the highest all the same.
+      set(new Rumour(self, State.ALIVE, Math.min(r.epoch() + 1, Datagram.MOST_EPOCH - 1), 0));
+    } else if (r.epoch() == mine.epoch() && r.state() != State.ALIVE && r.incarnation() >= mine.incarnation()) {
+      falseSuspicions++;
+      health = Math.min(settings.healthMost(), health + 1);
+      set(new Rumour(self, State.ALIVE, mine.epoch(), r.incarnation() + 1));
+    }
+  }
+
+  private void answer(Datagram d, long now) {
+    switch (d.kind()) {
+      case PING -> send(d.from(), Kind.ACK, d.sequence(), self);
+      case PING_REQUEST -> {
+        if (errands.size() < MOST_ERRANDS && d.target() != self) {
+          Errand e = new Errand(d.from(), d.sequence(), d.target(), ++sequence & 0xffffffffL,
+              now + (long) (NACK_PART * settings.probeNanos()));
+          errands.add(e);
+          send(e.target(), Kind.PING, e.sequence(), e.target());
+        }
+      }
+      case ACK -> acknowledged(d);
+      case NACK -> {
+        if (probe != null && probe.sequence == d.sequence() && probe.nacksDue > 0) {
+          probe.nacksDue--;
+        }
+      }
+      case SYNC -> sendWith(d.from(), Kind.NACK, 0, self, page());
+    }
+  }
+
+  private void acknowledged(Datagram d) {
+    if (probe != null && probe.sequence == d.sequence() && probe.target == d.target()) {
+      probe = null;
+      health = Math.max(0, health - 1);
+      return;
+    }
+    for (Iterator<Errand> it = errands.iterator(); it.hasNext();) {
+      Errand e = it.next();
+      if (e.sequence() == d.sequence() && e.target() == d.from()) {
+        it.remove();
+        send(e.asker(), Kind.ACK, e.theirSequence(), e.target());
+        return;
+      }
+    }
+  }
+
+  private void send(int to, Kind kind, long with, int target) {
+    sendWith(to, kind, with, target, kind == Kind.SYNC ? page() : List.of());
+  }
+
+  private void sendWith(int to, Kind kind, long with, int target, List<Rumour> first) {
+    List<Rumour> rumours = new ArrayList<>(first);
+    // The buddy system (Lifeguard, section IV.C): one that is suspected is told of it by whoever probes it.
+    if (kind == Kind.PING && table[to].state() != State.ALIVE && table[to].state() != State.UNKNOWN
+        && !rumours.contains(table[to])) {
+      rumours.add(table[to]);
+    }
+    int limit = (int) Math.ceil(settings.retransmit() * Math.max(1, Math.log10(live() + 1)));
+    news.values().stream().sorted(Comparator.<Told>comparingInt(t -> t.times).thenComparingInt(t -> t.rumour.member()))
+        .limit(Datagram.MOST_RUMOURS).toList().forEach(t -> {
+          if (rumours.size() < Datagram.MOST_RUMOURS && !rumours.contains(t.rumour)) {
+            rumours.add(t.rumour);
+            if (++t.times >= limit) {
+              news.remove(t.rumour.member());
+            }
+          }
+        });
+    Rumour mine = table[self];
+    out.add(new Out(to, new Datagram(kind, self, mine.epoch(), mine.incarnation(), with, target, rumours).bytes()));
+  }
+
+  private void set(Rumour r) {
+    table[r.member()] = r;
+    tell(r);
+  }
+
+  /** One rumour a member: the table is the bound. */
+  private void tell(Rumour r) {
+    news.put(r.member(), new Told(r));
+  }
+}
