Fleet daemon: supervisor, run directory, adoption, control socket, rolling restart

Change: package fleet. Supervisor decides without I/O (crash back-off and limit, rolling restart and reload with at most K away and a halt, stop in order); Daemon carries out. Instances are found by a mark on their command line, so a daemon killed at any point leaves neither orphans nor doubles. PROXY_GROUP tells an instance its number and the fleet's size.

--- a/src/main/java/pumicekeel/config/Configuration.java
+++ b/src/main/java/pumicekeel/config/Configuration.java
@@ -30,7 +30,21 @@
         seed(f.text("seed")),
         (int) f.nested("limits").integer("sockets", 1024),
         known.has("endpoints") ? HostList.of(known) : new HostList(0, true, java.util.List.of()),
-        Decoder.settings(f.nested("settings")));
+        member(environment.get("PROXY_GROUP"), Decoder.settings(f.nested("settings"))));
+  }
+
+  /** What a fleet's daemon says, as {@code NUMBER/SIZE}: one configuration serves all its instances. */
+  private static Settings member(String group, Settings s) {
+    if (group == null || group.isEmpty()) {
+      return s;
+    }
+    java.util.regex.Matcher m = java.util.regex.Pattern.compile("(\\d{1,5})/(\\d{1,5})").matcher(group);
+    if (!m.matches() || Integer.parseInt(m.group(1)) >= Integer.parseInt(m.group(2))) {
+      throw new IllegalArgumentException("PROXY_GROUP: expected NUMBER/SIZE, got \"" + group + "\"");
+    }
+    return new Settings(Integer.parseInt(m.group(1)), Integer.parseInt(m.group(2)), s.zone(), s.classes(), s.tenants(),
+        s.limits(), s.contract(), s.prices(), s.listOnRequest(), s.weightKind(), s.overShareWorth(), s.warmKeys(),
+        s.tickNanos());
   }
 
   /** Reads the file again at a reload: then it wins, for the other variables are as old as the process. */
--- /dev/null
+++ b/src/main/java/pumicekeel/fleet/Settings.java
@@ -0,0 +1,24 @@
+package pumicekeel.fleet;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * What a daemon runs.
+ *
+ * @param first where instance 0 listens; each further one at the next port
+ * @param operator the operator file of all, or null
+ * @param configuration the platform's configuration of all
+ * @param command how a JVM is started, up to and without {@code serve}; the marker goes behind its first word
+ */
+public record Settings(int instances, Path directory, InetSocketAddress first, Path operator, Path configuration,
+    String name, List<String> command, Limits limits) {
+
+  /** More than a machine has cores for; each costs some 60 MB. */
+  public static final int MOST_INSTANCES = 256;
+
+  InetSocketAddress addressOf(int instance) {
+    return new InetSocketAddress(first.getAddress(), first.getPort() + instance);
+  }
+}
