--- a/src/main/java/pumicekeel/fleet/Daemon.java
+++ b/src/main/java/pumicekeel/fleet/Daemon.java
@@ -38,6 +38,7 @@
   private static final int LOOKERS = 4;
   /** A command's line; a client that sends more or nothing is cut off. */
   private static final int MOST_LINE = 256;
+  private static final int MOST_DISCARDED = 8 << 10;
   private static final int COMMAND_MILLIS = 2_000;
   /** The exit status of one that was taken over: the kernel tells it to nobody but its parent, which is gone. */
   private static final int UNKNOWN = -1;
@@ -225,11 +226,13 @@
   }
 
   private static String readLine(SocketChannel client) throws IOException {
-    ByteBuffer in = ByteBuffer.allocate(MOST_LINE);
+    // Read some way beyond what is taken: with bytes unread the close would reset the answer away.
+    ByteBuffer in = ByteBuffer.allocate(MOST_DISCARDED);
     while (in.hasRemaining() && client.read(in) >= 0) {
       String text = new String(in.array(), 0, in.position(), StandardCharsets.UTF_8);
-      if (text.indexOf('\n') >= 0) {
-        return text.substring(0, text.indexOf('\n')).strip();
+      int end = text.indexOf('\n');
+      if (end >= 0) {
+        return end > MOST_LINE ? null : text.substring(0, end).strip();
       }
     }
     return null;
--- a/src/main/java/pumicekeel/fleet/RunDirectory.java
+++ b/src/main/java/pumicekeel/fleet/RunDirectory.java
@@ -97,7 +97,9 @@
 
   @Override
   public void close() throws IOException {
-    lock.release();
-    channel.close();
+    if (channel.isOpen()) {
+      lock.release();
+      channel.close();
+    }
   }
 }
--- a/src/main/java/pumicekeel/measure/RpcMeasure.java
+++ b/src/main/java/pumicekeel/measure/RpcMeasure.java
@@ -96,6 +96,7 @@
       upstreams.add(new StandInUpstream("u" + i, standIns, 0));
     }
     FrameRelay relay = new FrameRelay(relayLoop, servers.stream().map(StandInRpcServer::address).toList());
+    List<Long> before = threads();
     Node node = node("[listeners.rpc]\naddress = \"127.0.0.1:0\"\nprotocol = \"json-rpc\"\n[[methods]]\nname = "
         + "\"rate.lookup\"\nclass = \"rate-lookup\"\ntenant = { pointer = \"/account\" }\nsession-key = { pointer = "
         + "\"/session\" }\ntime-left-ms = { pointer = \"/left\" }\n[sources.r]\nstatic = "
@@ -103,7 +104,6 @@
         + list(upstreams.stream().map(StandInUpstream::address).toList()) + "\n[pools.rpc]\nsource = \"r\"\nprotocol = "
         + "\"json-rpc\"\n[pools.http]\nsource = \"h\"\n[[routes]]\nlistener = \"rpc\"\npool = \"rpc\"\n[[routes]]\npool = "
         + "\"http\"\n");
-    List<Long> before = threads();
     InetSocketAddress http = node.start();
     node.awaitReady();
     List<Long> loop = threads();
