rig fleet; a stop tells a busy client with its next answer before it closes

Change: package rig; a connection that was answered within 60 ms is closed with its next answer instead; a stop lasts at most 60 ms longer.

--- a/src/main/java/pumicekeel/cli/DemoCommand.java
+++ b/src/main/java/pumicekeel/cli/DemoCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -55,8 +56,14 @@
     if (connections < 8 || connections > 2_000 || faults < 0 || faults > 10_000) {
       throw new ParameterException(spec.commandLine(), "expected --connections 8 to 2000 and --faults 0 to 10000");
     }
-    var writer = spec.commandLine().getOut();
-    PrintStream out = new PrintStream(new OutputStream() {
+    PrintStream out = lines(spec.commandLine().getOut());
+    boolean held = jsonrpc ? new RpcDemo(seconds, connections, faults, seed, out).run() : new Demo(seconds, out).run();
+    return held ? 0 : 1;
+  }
+
+  /** A stream that hands whole lines to a command's writer. */
+  static PrintStream lines(PrintWriter writer) {
+    return new PrintStream(new OutputStream() {
       private final java.io.ByteArrayOutputStream line = new java.io.ByteArrayOutputStream();
 
       @Override
@@ -69,7 +76,5 @@
         }
       }
     }, true, StandardCharsets.UTF_8);
-    boolean held = jsonrpc ? new RpcDemo(seconds, connections, faults, seed, out).run() : new Demo(seconds, out).run();
-    return held ? 0 : 1;
   }
 }
--- a/src/main/java/pumicekeel/demo/Verdict.java
+++ b/src/main/java/pumicekeel/demo/Verdict.java
@@ -70,6 +70,17 @@
         + (clients.faults().isEmpty() ? "" : " " + clients.faults()));
   }
 
+  /** Rule 1 for clients of many balancers together. */
+  public void noneLostOfAll(String what, List<StandInClients> all) {
+    long asked = all.stream().mapToLong(StandInClients::asked).sum();
+    long wrong = all.stream().mapToLong(c -> c.count(End.LOST) + c.count(End.LATE) + c.count(End.WRONG)).sum();
+    long unended = all.stream().mapToLong(StandInClients::unended).sum();
+    List<String> faults = all.stream().flatMap(c -> c.faults().stream()).limit(5).toList();
+    rule("no request lost", wrong == 0 && unended == 0 && asked > 0, asked + " " + what + " at " + all.size()
+        + " instances, " + wrong + " lost, late or wrong, " + unended + " without an end"
+        + (faults.isEmpty() ? "" : " " + faults));
+  }
+
   /** Rule 1 for calls. */
   public void noneLost(StandInRpcClients clients) {
     long wrong = clients.count(StandInRpcClients.End.LOST) + clients.count(StandInRpcClients.End.LATE)
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -22,6 +22,9 @@
   /** Read a piece at a time and few pieces in a row, or one client that floods would keep all others waiting. */
   private static final int READ_BYTES = 4096;
   private static final int READS_IN_A_ROW = 2;
+  /** One that was answered so lately asks again this moment: it is told with its next answer that this is the last, where
+   * a close would meet its request on the way. Costs a stop no more than this. */
+  private static final long JUST_NANOS = 60_000_000L;
 
   private final EventLoop loop;
   private final String name;
@@ -173,7 +176,8 @@
   @Override
   public void closeIdle() {
     closing = true;
-    List.copyOf(connections).stream().filter(ClientHandler::idle).forEach(ClientHandler::close);
+    long now = System.nanoTime();
+    List.copyOf(connections).stream().filter(c -> c.idle() && c.idleFor(now) > JUST_NANOS).forEach(ClientHandler::close);
   }
 
   /** Accepts no more. */
@@ -186,6 +190,8 @@
   @Override
   public void closeUntaken() {
     closing = true;
-    List.copyOf(connections).stream().filter(ClientHandler::untaken).forEach(ClientHandler::close);
+    long now = System.nanoTime();
+    List.copyOf(connections).stream().filter(c -> c.untaken() && (!c.idle() || c.idleFor(now) > JUST_NANOS))
+        .forEach(ClientHandler::close);
   }
 }
--- /dev/null
+++ b/src/main/java/pumicekeel/rig/FleetRig.java
@@ -0,0 +1,213 @@
+package pumicekeel.rig;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import pumicekeel.demo.Verdict;
+import pumicekeel.fleet.Control;
+import pumicekeel.fleet.Daemon;
+import pumicekeel.fleet.Limits;
+import pumicekeel.fleet.Settings;
+import pumicekeel.standin.StandInClients;
+import pumicekeel.standin.StandInClients.Ask;
+import pumicekeel.standin.StandInClients.End;
+import pumicekeel.standin.StandInDiscovery;
+import pumicekeel.standin.StandInUpstream;
+
+/**
+ * A fleet of real processes under a real daemon, with stand-in upstreams, a discovery and clients at every instance: a rolling
+ * restart under load, a drain, a cold upstream. The stand-ins' own logs are held against the rules for all instances together.
+ */
+public final class FleetRig {
+
+  private static final int UPSTREAMS = 6;
+  private static final long DELAY_MICROS = 3_000;
+  private static final long GRACE_MILLIS = 2_000;
+  private static final long MS = 1_000_000L;
+
+  private final int instances;
+  private final int seconds;
+  private final double perSecond;
+  private final PrintStream out;
+  private final List<String> flags;
+  private final EventLoopGroup standIns = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final EventLoopGroup clientLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Map<String, StandInUpstream> upstreams = new TreeMap<>();
+  private final Map<String, Integer> cells = new TreeMap<>();
+  private StandInDiscovery discovery;
+  private long startedAt;
+
+  /** So many requests a second of each of two classes in all; {@code flags} for the instances' JVMs. */
+  public FleetRig(int instances, int seconds, double perSecond, List<String> flags, PrintStream out) {
+    this.instances = instances;
+    this.seconds = seconds;
+    this.perSecond = perSecond;
+    this.flags = flags;
+    this.out = out;
+  }
+
+  /** Plays it; true where all rules held and the rolling restart went through. */
+  public boolean run() throws Exception {
+    // Short: the control socket's path has to fit.
+    Path folder = Files.createTempDirectory("rig");
+    Daemon daemon = null;
+    try {
+      discovery = new StandInDiscovery(standIns);
+      for (int i = 0; i < UPSTREAMS; i++) {
+        add("s" + i, i / 2, 0);
+      }
+      int port = freePorts(instances);
+      Path config = Files.writeString(folder.resolve("config.json"), configuration());
+      List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+      command.addAll(flags);
+      command.addAll(List.of("-cp", System.getProperty("java.class.path"), "pumicekeel.cli.Main"));
+      Path run = folder.resolve("run");
+      daemon = new Daemon(new Settings(instances, run, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), null,
+          config, "rig", command, Limits.of(1, 500 * MS)), line -> say(line));
+      startedAt = System.nanoTime();
+      daemon.start();
+      return play(run, port);
+    } finally {
+      if (daemon != null) {
+        daemon.stop();
+        daemon.close();
+      }
+      upstreams.values().forEach(StandInUpstream::close);
+      discovery.close();
+      standIns.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+      clientLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+  }
+
+  private void add(String name, int cell, long sinceMillis) throws InterruptedException {
+    StandInUpstream upstream = new StandInUpstream(name, standIns, DELAY_MICROS);
+    upstreams.put(name, upstream);
+    cells.put(name, cell);
+    discovery.tell(name, upstream.address(), cell, "in_service", sinceMillis);
+  }
+
+  private String configuration() {
+    return """
+        {"name":"rig","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1","limits":{"sockets":512},
+         "known":{"index":0,"snapshot":true,"endpoints":[]},
+         "settings":{"categories":[
+           {"name":"rate-lookup","effect":"idempotent","aim-ns":200000000,"deadline-ns":1500000000},
+           {"name":"quote-issue","effect":"deduplicated","dedup-scope":"cell","window-ns":2000000000,
+            "aim-ns":400000000,"deadline-ns":2000000000}],
+          "projects":[{"name":"rig","portion":1.0,"quota-per-s":100000.0}],"registry-mode":"on_request",
+          "limits":{"cancel":true,"retry-after":true,"max-retry-after-ns":1000000000,"max-attempts":4,
+           "connect-timeout-ns":200000000,"conn-idle-ns":5000000000},
+          "contract":{"drain-grace-ns":2000000000,"answer-slack-ns":8000000,"cold-from":0.3,
+           "warm-within-ns":8000000000,"overload-for-ns":3000000000,"fall-multiple":3.0}}}
+        """.formatted(discovery.address().getPort());
+  }
+
+  /** A block of ports that are free now. */
+  private static int freePorts(int count) throws IOException {
+    for (int tries = 0; tries < 200; tries++) {
+      List<ServerSocket> held = new ArrayList<>();
+      try {
+        held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        int first = held.get(0).getLocalPort();
+        for (int i = 1; i < count; i++) {
+          held.add(new ServerSocket(first + i, 1, InetAddress.getLoopbackAddress()));
+        }
+        return first;
+      } catch (IOException | IllegalArgumentException e) {
+        // One of them is taken: another block.
+      } finally {
+        for (ServerSocket socket : held) {
+          socket.close();
+        }
+      }
+    }
+    throw new IOException("no block of " + count + " free ports");
+  }
+
+  private boolean play(Path run, int port) throws Exception {
+    until(run, instances, "\"state\":\"ready\"");
+    say("all ready");
+    List<StandInClients> lookups = new ArrayList<>();
+    List<StandInClients> quotes = new ArrayList<>();
+    for (int i = 0; i < instances; i++) {
+      InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port + i);
+      lookups.add(new StandInClients(at, clientLoops, new Ask("h", "rate-lookup", false, "rig", 1_500), "r" + i, 4,
+          perSecond / instances, i).start());
+      quotes.add(new StandInClients(at, clientLoops, new Ask("h", "quote-issue", true, "rig", 2_000), "q" + i, 4,
+          perSecond / instances, i).start());
+    }
+    List<StandInClients> all = new ArrayList<>(lookups);
+    all.addAll(quotes);
+    watch(all, seconds * 0.2);
+    discovery.tell("s1", upstreams.get("s1").address(), 0, "terminating", 0);
+    say("s1 drains");
+    watch(all, seconds * 0.3);
+    long coldAt = System.nanoTime();
+    add("cold", 9, System.currentTimeMillis());
+    say("cold joins");
+    watch(all, seconds * 0.5);
+    say("rolling restart: " + Control.ask(run, "restart"));
+    String status = Control.ask(run, "status");
+    while (!status.contains("\"work\":\"none\"")) {
+      watch(all, 1);
+      status = Control.ask(run, "status");
+    }
+    boolean through = status.contains("\"halted\":null");
+    say(through ? "rolling restart done" : "rolling restart: " + status);
+    for (StandInClients c : all) {
+      c.stop();
+    }
+    return report(lookups, quotes, coldAt) && through;
+  }
+
+  private static void until(Path run, int count, String what) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(120);
+    while (Control.ask(run, "status").split(what, -1).length - 1 < count) {
+      if (System.nanoTime() - end > 0) {
+        throw new IOException("the fleet did not become ready: " + Control.ask(run, "status"));
+      }
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+  }
+
+  private void watch(List<StandInClients> all, double forSeconds) throws InterruptedException {
+    long end = System.nanoTime() + (long) (forSeconds * 1e9);
+    while (System.nanoTime() - end < 0) {
+      TimeUnit.NANOSECONDS.sleep(Math.min(1_000_000_000L, Math.max(1, end - System.nanoTime())));
+      say(sum(all, End.SERVED) + " served, " + sum(all, End.REFUSED) + " refused, " + sum(all, End.FAILED) + " failed");
+    }
+  }
+
+  private static long sum(List<StandInClients> all, End end) {
+    return all.stream().mapToLong(c -> c.count(end)).sum();
+  }
+
+  private void say(String what) {
+    out.printf("%5.1f s  %s%n", (System.nanoTime() - startedAt) / 1e9, what);
+  }
+
+  private boolean report(List<StandInClients> lookups, List<StandInClients> quotes, long coldAt) {
+    Verdict verdict = Verdict.ofUpstreams(upstreams, cells);
+    verdict.noneLostOfAll("lookups", lookups);
+    verdict.noneLostOfAll("quotes", quotes);
+    verdict.noneTwice();
+    verdict.drainKept("s1", "rate-lookup", discovery.toldAt("s1", "terminating"), GRACE_MILLIS);
+    verdict.drainKept("s1", "quote-issue", discovery.toldAt("s1", "terminating"), GRACE_MILLIS);
+    verdict.coldKept("cold", coldAt, 0.3, 8, 3, 3);
+    out.println();
+    verdict.lines().forEach(out::println);
+    return verdict.good();
+  }
+}
