Membership on datagram sockets, by [peers] of the operator file

Change: PeerLink carries a Membership on the node's loop; strangers are dropped by their address; off without [peers].

--- a/src/main/java/pumicekeel/config/Operator.java
+++ b/src/main/java/pumicekeel/config/Operator.java
@@ -16,9 +16,12 @@
 import pumicekeel.route.Route;
 import pumicekeel.upstream.jsonrpc.ServerSettings;
 
-/** An operator file that has passed its checks: one generation of listeners, sources, pools and routes. */
+/**
+ * An operator file that has passed its checks: one generation of listeners, sources, pools and routes. {@code peers}: where
+ * the fleet's members speak to each other, in the order of their numbers; empty for no membership. It counts at a start only.
+ */
 public record Operator(Process process, Map<String, Listener> listeners, Map<String, Source> sources,
-    Map<String, Pool> pools, List<Route> routes, Journal journal) {
+    Map<String, Pool> pools, List<Route> routes, Journal journal, List<InetSocketAddress> peers) {
 
   /** The listener and the source that the platform's own configuration names. */
   public static final String PLATFORM = "platform";
--- a/src/main/java/pumicekeel/config/OperatorReader.java
+++ b/src/main/java/pumicekeel/config/OperatorReader.java
@@ -31,6 +31,7 @@
 import pumicekeel.front.jsonrpc.CallSettings;
 import pumicekeel.journal.Durability;
 import pumicekeel.route.Route;
+import pumicekeel.peers.Datagram;
 import pumicekeel.runtime.Addresses;
 
 /** Turns the text of an operator file into an {@link Operator}, or into the list of all that is wrong with it. */
@@ -125,9 +126,10 @@
     }
     List<Route> routes = new RouteReader(pools, listeners.keySet(), faults).routes(root, defaultPool);
     Operator.Journal journal = journal(root.table("journal"));
+    List<InetSocketAddress> peers = peers(root.table("peers"));
     root.done();
     checkRoom(root, process, pools);
-    return new Operator(process, listeners, sources, pools, routes, journal);
+    return new Operator(process, listeners, sources, pools, routes, journal, peers);
   }
 
   // ---- The process and its listeners --------------------------------------------------------------------
@@ -144,6 +146,26 @@
     return process;
   }
 
+  /** {@code addresses}, or {@code first} and {@code count}: consecutive ports, as a fleet's daemon hands them out. */
+  private static List<InetSocketAddress> peers(Section s) {
+    if (s == null) {
+      return List.of();
+    }
+    List<InetSocketAddress> out = new ArrayList<>();
+    for (String text : or(s.texts("addresses"), List.<String>of())) {
+      try {
+        out.add(Addresses.parse("addresses", text));
+      } catch (IllegalArgumentException e) {
+        s.fault("addresses", "expected ADDRESS:PORT, without a name to look up, got \"" + text + "\"");
+      }
+    }
+    s.done();
+    if (out.size() < 2 || out.size() > Datagram.MOST_MEMBERS || Set.copyOf(out).size() != out.size()) {
+      s.fault("addresses", "expected 2 to " + Datagram.MOST_MEMBERS + " addresses, each once, in the order of the instances");
+    }
+    return out;
+  }
+
   private static Operator.Journal journal(Section s) {
     if (s == null) {
       return null;
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -20,6 +21,7 @@
 import pumicekeel.journal.Journal;
 import pumicekeel.journal.JournalWriter;
 import pumicekeel.journal.KeyMemory;
+import pumicekeel.peers.PeerLink;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
 
@@ -46,6 +48,7 @@
   private final String warmUpPath = WarmUp.newPath();
   private final Operator firstGeneration;
   private Journal journal;
+  private PeerLink peers;
   /** Only on the loop. */
   private boolean serves;
   private boolean draining;
@@ -111,6 +114,7 @@
   /** Listens and follows the list; the address that clients connect to. */
   public InetSocketAddress start() throws IOException, InterruptedException {
     openJournal();
+    openPeers();
     Map<String, Front> bound = firstGeneration == null ? Map.of() : listeners.bind(firstGeneration);
     InetSocketAddress address = listeners.platform().listen(configuration.listen());
     loop.execute(() -> {
@@ -146,6 +150,15 @@
     loop.submit(() -> services.journal(log)).syncUninterruptibly();
   }
 
+  private void openPeers() throws InterruptedException {
+    List<InetSocketAddress> all = firstGeneration == null ? List.of() : firstGeneration.peers();
+    if (!all.isEmpty()) {
+      int me = configuration.settings().me();
+      peers = new PeerLink(loop, all, me, System.currentTimeMillis(), configuration.seed() + me, Log::line);
+      peers.open(all.get(me));
+    }
+  }
+
   /** Writes what waits for the journal; the process may end after it. */
   private void closeJournal() {
     try {
@@ -218,9 +231,17 @@
   /** Ends the loop; for a node inside another program. */
   public void close() {
     closeJournal();
+    if (peers != null) {
+      loop.execute(peers::close);
+    }
     loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS);
   }
 
+  /** Who of the fleet is there; null without peers. Only on the loop. */
+  PeerLink peers() {
+    return peers;
+  }
+
   Services services() {
     return services;
   }
--- a/src/main/java/pumicekeel/node/Services.java
+++ b/src/main/java/pumicekeel/node/Services.java
@@ -145,6 +145,11 @@
       settingsOf(configuration, pool);
     }
     checkMethods(configuration, next);
+    int me = configuration.settings().me();
+    if (!next.peers().isEmpty() && me >= next.peers().size()) {
+      throw new IllegalArgumentException("peers.addresses: expected one for this instance, number " + me + ", got "
+          + next.peers().size());
+    }
   }
 
   /** A method's class has to be some pool's, and a keyed one needs its key: no call of it could ever be taken. */
@@ -221,6 +226,9 @@
     if (!java.util.Objects.equals(first.journal(), next.journal())) {
       out.add("journal");
     }
+    if (!first.peers().equals(next.peers())) {
+      out.add("peers");
+    }
     return out;
   }
 
--- /dev/null
+++ b/src/main/java/pumicekeel/peers/PeerLink.java
@@ -0,0 +1,132 @@
+package pumicekeel.peers;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** A {@link Membership} on a datagram socket. What does not come from a listed address is dropped unread. Only on the loop. */
+public final class PeerLink implements Closeable {
+
+  /** A larger datagram is cut to this by the kernel, and so is none. */
+  private static final int READ_BYTES = Datagram.MOST + 1;
+  private static final int READS_IN_A_ROW = 16;
+  private static final long LEAST_NANOS = 1_000_000L;
+
+  private final EventLoop loop;
+  private final List<InetSocketAddress> peers;
+  private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+  private final Membership membership;
+  private final Consumer<String> log;
+  private Channel channel;
+  private ScheduledFuture<?> timer;
+  private int told;
+  private long strangers;
+  private boolean closed;
+
+  /** The member of this number; {@code epochMillis} is the wall clock's reading at the start. */
+  public PeerLink(EventLoop loop, List<InetSocketAddress> peers, int self, long epochMillis, long seed, Consumer<String> log) {
+    this.loop = loop;
+    this.peers = List.copyOf(peers);
+    this.log = log;
+    for (int i = 0; i < peers.size(); i++) {
+      numbers.put(peers.get(i), i);
+    }
+    membership = new Membership(MembershipSettings.USUAL, self, peers.size(), epochMillis, seed, System.nanoTime());
+    told = membership.live();
+  }
+
+  /** Binds to this member's own address; waits, so it is not to be called on the loop. */
+  public void open(InetSocketAddress own) throws InterruptedException {
+    channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_IN_A_ROW))
+        .handler(new Reader()).bind(own).sync().channel();
+    loop.execute(this::next);
+  }
+
+  private final class Reader extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+      Integer from = numbers.get(packet.sender());
+      if (from == null) {
+        strangers++;
+        return;
+      }
+      ByteBuf content = packet.content();
+      send(membership.receive(from, ByteBufUtil.getBytes(content), System.nanoTime()));
+      next();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // An unreachable peer is told of by its silence; the socket goes on.
+    }
+  }
+
+  private void send(List<Membership.Out> out) {
+    for (Membership.Out o : out) {
+      channel.write(new DatagramPacket(Unpooled.wrappedBuffer(o.bytes()), peers.get(o.to())), channel.voidPromise());
+    }
+    if (!out.isEmpty()) {
+      channel.flush();
+    }
+  }
+
+  private void tick() {
+    timer = null;
+    send(membership.tick(System.nanoTime()));
+    next();
+  }
+
+  /** One timer, for whatever is due next. */
+  private void next() {
+    if (closed) {
+      return;
+    }
+    int live = membership.live();
+    if (live != told) {
+      told = live;
+      log.accept("peers: " + live + " of " + peers.size() + " are there, " + membership.unknown() + " never heard of");
+    }
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    timer = loop.schedule(this::tick, Math.max(LEAST_NANOS, membership.nextAt() - System.nanoTime()), TimeUnit.NANOSECONDS);
+  }
+
+  public Membership membership() {
+    return membership;
+  }
+
+  /** Datagrams from addresses that are nobody's. */
+  public long strangers() {
+    return strangers;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    if (channel != null) {
+      channel.close();
+    }
+  }
+}
