--- a/src/main/java/pumicekeel/demo/RpcDemo.java
+++ b/src/main/java/pumicekeel/demo/RpcDemo.java
@@ -9,8 +9,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import pumicekeel.adapter.Decoder;
-import pumicekeel.adapter.Fields;
 import pumicekeel.config.Configuration;
 import pumicekeel.config.OperatorReader;
 import pumicekeel.discovery.HostList;
@@ -118,19 +116,8 @@
   }
 
   private Configuration configuration() throws Exception {
-    Fields settings = Fields.parse("settings", """
-        {"categories":[
-          {"name":"rate-lookup","effect":"idempotent","aim-ns":200000000,"deadline-ns":1500000000},
-          {"name":"quote-issue","effect":"deduplicated","dedup-scope":"cell","window-ns":2000000000,
-           "aim-ns":400000000,"deadline-ns":2000000000}],
-         "projects":[{"name":"demo","portion":1.0,"quota-per-s":100000.0}],"registry-mode":"on_request",
-         "limits":{"cancel":true,"retry-after":true,"max-retry-after-ns":1000000000,"max-attempts":4,
-          "second-copies":true,"connect-timeout-ns":200000000,"conn-idle-ns":5000000000},
-         "contract":{"drain-grace-ns":2000000000,"answer-slack-ns":8000000,"cold-from":0.3,
-          "warm-within-ns":8000000000,"overload-for-ns":3000000000,"fall-multiple":3.0}}
-        """);
     return new Configuration("demo", Addresses.parse("listen", "127.0.0.1:0"), discovery.address(), 1, 16_384,
-        new HostList(0, true, List.of()), Decoder.settings(settings));
+        new HostList(0, true, List.of()), DemoSettings.settings());
   }
 
   private StandInRpcClients clients(InetSocketAddress at, String method, long deadline, int depth, int batch, int leaves,
--- a/src/main/java/pumicekeel/rig/FleetRig.java
+++ b/src/main/java/pumicekeel/rig/FleetRig.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import pumicekeel.demo.DemoSettings;
 import pumicekeel.demo.Verdict;
 import pumicekeel.fleet.Control;
 import pumicekeel.fleet.Daemon;
@@ -99,19 +100,9 @@
   }
 
   private String configuration() {
-    return """
-        {"name":"rig","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1","limits":{"sockets":512},
-         "known":{"index":0,"snapshot":true,"endpoints":[]},
-         "settings":{"categories":[
-           {"name":"rate-lookup","effect":"idempotent","aim-ns":200000000,"deadline-ns":1500000000},
-           {"name":"quote-issue","effect":"deduplicated","dedup-scope":"cell","window-ns":2000000000,
-            "aim-ns":400000000,"deadline-ns":2000000000}],
-          "projects":[{"name":"rig","portion":1.0,"quota-per-s":100000.0}],"registry-mode":"on_request",
-          "limits":{"cancel":true,"retry-after":true,"max-retry-after-ns":1000000000,"max-attempts":4,
-           "connect-timeout-ns":200000000,"conn-idle-ns":5000000000},
-          "contract":{"drain-grace-ns":2000000000,"answer-slack-ns":8000000,"cold-from":0.3,
-           "warm-within-ns":8000000000,"overload-for-ns":3000000000,"fall-multiple":3.0}}}
-        """.formatted(discovery.address().getPort());
+    return "{\"name\":\"rig\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.address().getPort()
+        + "\",\"seed\":\"1\",\"limits\":{\"sockets\":512},\"known\":{\"index\":0,\"snapshot\":true,\"endpoints\":[]},"
+        + "\"settings\":" + DemoSettings.JSON + "}";
   }
 
   /** A block of ports that are free now. */
@@ -143,9 +134,9 @@
     List<StandInClients> quotes = new ArrayList<>();
     for (int i = 0; i < instances; i++) {
       InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port + i);
-      lookups.add(new StandInClients(at, clientLoops, new Ask("h", "rate-lookup", false, "rig", 1_500), "r" + i, 4,
+      lookups.add(new StandInClients(at, clientLoops, new Ask("h", "rate-lookup", false, "demo", 1_500), "r" + i, 4,
           perSecond / instances, i).start());
-      quotes.add(new StandInClients(at, clientLoops, new Ask("h", "quote-issue", true, "rig", 2_000), "q" + i, 4,
+      quotes.add(new StandInClients(at, clientLoops, new Ask("h", "quote-issue", true, "demo", 2_000), "q" + i, 4,
           perSecond / instances, i).start());
     }
     List<StandInClients> all = new ArrayList<>(lookups);
