Settings of the demos are read where reading them may fail

Need: the commit before did not compile: an exception of the reader's was not declared. Change: declared.

--- a/src/main/java/pumicekeel/demo/DemoSettings.java
+++ b/src/main/java/pumicekeel/demo/DemoSettings.java
@@ -1,5 +1,6 @@
 package pumicekeel.demo;
 
+import java.io.IOException;
 import pumicekeel.Balancer.Settings;
 import pumicekeel.adapter.Decoder;
 import pumicekeel.adapter.Fields;
@@ -22,7 +23,7 @@
 
   private DemoSettings() {}
 
-  static Settings settings() {
+  static Settings settings() throws IOException {
     return Decoder.settings(Fields.parse("settings", JSON));
   }
 }
