Under a daemon a stopping instance ends each connection with its next answer

Need: the rig of 20 instances lost 4 of 82,498 requests: connections that had been idle for longer than 60 ms were closed as a request was on the way. Without a daemon nothing changes.

--- a/src/main/java/pumicekeel/config/Configuration.java
+++ b/src/main/java/pumicekeel/config/Configuration.java
@@ -11,9 +11,19 @@
 import pumicekeel.discovery.HostList;
 import pumicekeel.runtime.Addresses;
 
-/** What the platform tells a balancer at its start; a bad value is an IllegalArgumentException that names it. */
+/**
+ * What the platform tells a balancer at its start; a bad value is an IllegalArgumentException that names it.
+ *
+ * @param supervised a fleet's daemon restarts instances a few at a time: while this one stops, others are there
+ */
 public record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-    HostList known, Settings settings) {
+    HostList known, Settings settings, boolean supervised) {
+
+  /** One of which nothing is known of others. */
+  public Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+      HostList known, Settings settings) {
+    this(name, listen, discovery, seed, sockets, known, settings, false);
+  }
 
   /** Reads the file that PROXY_CONFIG names; the other variables, where set, come before what it says. */
   public static Configuration read(Map<String, String> environment) throws IOException {
@@ -30,7 +40,8 @@
         seed(f.text("seed")),
         (int) f.nested("limits").integer("sockets", 1024),
         known.has("endpoints") ? HostList.of(known) : new HostList(0, true, java.util.List.of()),
-        member(environment.get("PROXY_GROUP"), Decoder.settings(f.nested("settings"))));
+        member(environment.get("PROXY_GROUP"), Decoder.settings(f.nested("settings"))),
+        !environment.getOrDefault("PROXY_GROUP", "").isEmpty());
   }
 
   /** What a fleet's daemon says, as {@code NUMBER/SIZE}: one configuration serves all its instances. */
--- a/src/main/java/pumicekeel/front/Front.java
+++ b/src/main/java/pumicekeel/front/Front.java
@@ -26,6 +26,9 @@
   /** Accepts no more; by any thread. */
   void stopListening();
 
+  /** Each answer is its connection's last from now on; nothing is closed for it. */
+  void lastAnswers();
+
   /** Ends what asks nothing; what is answered from now on is its connection's last. */
   void closeIdle();
 
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -172,6 +172,11 @@
     return address;
   }
 
+  @Override
+  public void lastAnswers() {
+    closing = true;
+  }
+
   /** Ends what asks nothing; each answer is its connection's last from now on. */
   @Override
   public void closeIdle() {
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
@@ -167,6 +167,12 @@
     List.copyOf(connections).forEach(RpcClient::drain);
   }
 
+  /** A drain turns calls away already. */
+  @Override
+  public void lastAnswers() {
+    // Nothing to add.
+  }
+
   @Override
   public void closeIdle() {
     List.copyOf(connections).stream().filter(RpcClient::idle).forEach(RpcClient::finish);
--- a/src/main/java/pumicekeel/node/Listeners.java
+++ b/src/main/java/pumicekeel/node/Listeners.java
@@ -158,6 +158,10 @@
     all().forEach(Front::stopListening);
   }
 
+  void lastAnswers() {
+    all().forEach(Front::lastAnswers);
+  }
+
   void closeUntaken() {
     all().forEach(Front::closeUntaken);
   }
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -264,6 +264,10 @@
           .mapToLong(c -> TimeUnit.NANOSECONDS.toMillis(c.deadlineNanos())).max().orElse(0));
       serving.endBy(TimeUnit.MILLISECONDS.toNanos(end));
       loop.schedule(listeners::stopListening, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+      if (configuration.supervised()) {
+        // Others are there for them, so clients are told while they still ask: a close may meet a request on its way.
+        loop.schedule(listeners::lastAnswers, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+      }
       loop.schedule(this::takeNoMore, Math.max(ACCEPT_MILLIS, end - LAST_MILLIS), TimeUnit.MILLISECONDS);
     });
   }
--- a/src/test/java/pumicekeel/config/ConfigurationTest.java
+++ b/src/test/java/pumicekeel/config/ConfigurationTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,6 +24,8 @@
     assertEquals(1, read("").settings().groupSize());
     assertEquals(20, read("19/20").settings().groupSize());
     assertEquals(19, read("19/20").settings().me());
+    assertEquals(List.of(false, false, true), List.of(read(null).supervised(), read("").supervised(),
+        read("19/20").supervised()));
     assertEquals(read(null).settings().classes(), read("19/20").settings().classes());
   }
 
