Two members whose clocks were both set back find each other again

Change: what is said of oneself is heard from an earlier life too; the simulation keeps wake-ups in its queue instead of looking at every member for each event.

--- a/src/main/java/pumicekeel/peers/Membership.java
+++ b/src/main/java/pumicekeel/peers/Membership.java
@@ -342,8 +342,11 @@
     Rumour held = table[from];
     Rumour says = new Rumour(from, State.ALIVE, d.epoch(), d.incarnation());
     if (d.epoch() < held.epoch()) {
-      // From an earlier life, or replayed: it says nothing of now, and nothing is done for it but to tell its writer.
+      // From an earlier life, or replayed: it says nothing of now, and nothing is done for it but to tell its writer. What it
+      // says of this member is heard all the same, as it can only raise this one's number: two whose clocks were both set
+      // back would else hold each other for dead for ever, each deaf to the word that would mend it.
       discarded++;
+      d.rumours().stream().filter(r -> r.member() == self).forEach(this::hearOfSelf);
       if (d.kind() == Kind.PING || d.kind() == Kind.SYNC) {
         sendWith(from, Kind.NACK, d.sequence(), d.target(), List.of(held));
         return taken();
--- a/src/main/java/pumicekeel/sim/FleetSim.java
+++ b/src/main/java/pumicekeel/sim/FleetSim.java
@@ -26,6 +26,7 @@
   public record Report(long seed, int size, String fault, long datagrams, long bytes, long virtualNanos,
       List<Long> firstDetections, List<Long> allDetections, long falseDeaths, long refuted) {}
 
+  /** A datagram that arrives; a member that has something to do where {@code bytes} is null. */
   private record Event(long at, long order, int to, int from, byte[] bytes) implements Comparable<Event> {
     @Override
     public int compareTo(Event other) {
@@ -43,6 +44,7 @@
   private final long[] pausedUntil;
   private final long[] killedAt;
   private final boolean[] seenDead;
+  private final long[] wakesAt;
   private final int[] lives;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final List<byte[]> old = new ArrayList<>();
@@ -67,6 +69,7 @@
     pausedUntil = new long[size];
     killedAt = new long[size];
     seenDead = new boolean[size];
+    wakesAt = new long[size];
     lives = new int[size];
   }
 
@@ -87,6 +90,9 @@
     network.heal();
     for (int i = 0; i < size; i++) {
       pausedUntil[i] = 0;
+      if (members[i] != null) {
+        schedule(i);
+      }
     }
     run(now + SETTLE_PERIODS * settings.periodNanos(), false);
     checkTruth();
@@ -218,6 +224,8 @@
       long epoch = 1_700_000_000_000L + now / MS + clockOffMillis;
       refuted += members[i] == null ? 0 : members[i].refuted();
       members[i] = new Membership(settings, i, size, epoch, random.nextLong() + lives[i]++, now);
+      wakesAt[i] = Long.MAX_VALUE;
+      schedule(i);
     }
   }
 
@@ -229,32 +237,40 @@
   // ---- Time ---------------------------------------------------------------------------------------------
 
   private void run(long until, boolean calm) {
-    while (fault == null) {
-      int next = -1;
-      long at = events.isEmpty() ? Long.MAX_VALUE : events.peek().at();
-      for (int i = 0; i < size; i++) {
-        if (running[i]) {
-          long due = Math.max(members[i].nextAt(), pausedUntil[i]);
-          if (due < at) {
-            at = due;
-            next = i;
-          }
-        }
-      }
-      if (at >= until) {
-        now = until;
-        break;
-      }
-      now = Math.max(now, at);
-      if (next >= 0) {
-        send(next, members[next].tick(now));
+    while (fault == null && !events.isEmpty() && events.peek().at() < until) {
+      Event e = events.poll();
+      now = Math.max(now, e.at());
+      if (e.bytes() != null) {
+        deliver(e);
       } else {
-        deliver(events.poll());
+        wake(e.to(), e.at());
       }
-      if (calm) {
-        checkCalm(next);
+      if (calm && e.bytes() == null) {
+        checkCalm(e.to());
       }
     }
+    now = Math.max(now, until);
+  }
+
+  private void wake(int i, long at) {
+    if (!running[i] || wakesAt[i] != at) {
+      // Gone, or it has something to do at another time by now.
+      return;
+    }
+    wakesAt[i] = Long.MAX_VALUE;
+    if (pausedUntil[i] <= now && members[i].nextAt() <= now) {
+      send(i, members[i].tick(now));
+    }
+    schedule(i);
+  }
+
+  /** Has a member looked at when it next has something to do. */
+  private void schedule(int i) {
+    long due = Math.max(now, Math.max(members[i].nextAt(), pausedUntil[i]));
+    if (running[i] && due < wakesAt[i]) {
+      wakesAt[i] = due;
+      events.add(new Event(due, order++, i, i, null));
+    }
   }
 
   private void deliver(Event e) {
@@ -268,6 +284,7 @@
       return;
     }
     send(to, members[to].receive(e.from(), e.bytes(), now));
+    schedule(to);
   }
 
   private void send(int from, List<Membership.Out> out) {
@@ -306,7 +323,7 @@
   }
 
   private void checkCalm(int who) {
-    if (who < 0) {
+    if (!running[who]) {
       return;
     }
     for (int j = 0; j < size; j++) {
--- a/src/test/java/pumicekeel/peers/MembershipTest.java
+++ b/src/test/java/pumicekeel/peers/MembershipTest.java
@@ -149,6 +149,31 @@
     assertEquals(State.ALIVE, m.stateOf(3));
   }
 
+  /** Each holds the other's last life, which had a later clock, for dead. */
+  @Test
+  void twoWhoseClocksWereBothSetBackFindEachOther() {
+    Membership one = new Membership(MembershipSettings.USUAL, 0, 2, 100, 1, 0);
+    Membership other = new Membership(MembershipSettings.USUAL, 1, 2, 100, 2, 0);
+    one.receive(1, new Datagram(Kind.ACK, 1, 900, 0, 1, 1, List.of()).bytes(), 0);
+    other.receive(0, new Datagram(Kind.ACK, 0, 900, 0, 1, 0, List.of()).bytes(), 0);
+    long at = 0;
+    for (int i = 0; i < 1_000 && (one.rumourOf(1).epoch() <= 900 || other.rumourOf(0).epoch() <= 900); i++) {
+      at = Math.min(one.nextAt(), other.nextAt());
+      for (Membership.Out o : one.nextAt() <= at ? one.tick(at) : List.<Membership.Out>of()) {
+        for (Membership.Out back : other.receive(0, o.bytes(), at)) {
+          one.receive(1, back.bytes(), at);
+        }
+      }
+      for (Membership.Out o : other.nextAt() <= at ? other.tick(at) : List.<Membership.Out>of()) {
+        for (Membership.Out back : one.receive(1, o.bytes(), at)) {
+          other.receive(0, back.bytes(), at);
+        }
+      }
+    }
+    assertEquals(List.of(State.ALIVE, State.ALIVE), List.of(one.stateOf(1), other.stateOf(0)));
+    assertTrue(one.rumourOf(1).epoch() > 900 && other.rumourOf(0).epoch() > 900);
+  }
+
   @Test
   void anothersNameAndOnesOwnAreDiscarded() {
     byte[] of3 = new Datagram(Kind.PING, 3, 500, 0, 1, 0, List.of()).bytes();
--- a/src/test/java/pumicekeel/sim/FleetSimTest.java
+++ b/src/test/java/pumicekeel/sim/FleetSimTest.java
@@ -19,6 +19,12 @@
     }
   }
 
+  /** Two restarted with their clocks set back and held each other's life before that for dead. */
+  @Test
+  void seedThatOnceFailed() {
+    assertNull(new FleetSim(8802, 3).faults().fault());
+  }
+
   @Test
   void sameSeedIsTheSameRun() {
     assertEquals(new FleetSim(11, 9).faults(), new FleetSim(11, 9).faults());
