--- a/src/test/java/pumicekeel/fleet/DaemonTest.java
+++ b/src/test/java/pumicekeel/fleet/DaemonTest.java
@@ -73,11 +73,15 @@
     if (other != null) {
       other.destroyForcibly().waitFor();
     }
-    for (Daemon d : daemons) {
-      d.close();
+    try {
+      for (Daemon d : daemons) {
+        d.close();
+      }
+    } finally {
+      // Instances outlive their daemon, so whatever failed they are ended here.
+      processes().forEach(ProcessHandle::destroyForcibly);
+      until(() -> processes().isEmpty());
     }
-    processes().forEach(ProcessHandle::destroyForcibly);
-    until(() -> processes().isEmpty());
   }
 
   private Settings settings(int instances, List<String> more) {
