Waits of tests judge what they saw; a wrong operator file is not sent round a fleet

Need: a wait asked its condition once more after it had held, and the daemon's state had moved on: one failure of DaemonTest. A wrong file at a rolling reload had no test. Change: one answer is judged once; DaemonTest.operatorFileThat..., seen to fail without the daemon's own reading of the file.

--- a/src/test/java/pumicekeel/fleet/DaemonTest.java
+++ b/src/test/java/pumicekeel/fleet/DaemonTest.java
@@ -34,6 +34,7 @@
   private Path folder;
   private Path run;
   private Path config;
+  private Path operator;
   private int port;
   private final List<Daemon> daemons = new ArrayList<>();
   private final List<String> log = java.util.Collections.synchronizedList(new ArrayList<>());
@@ -89,7 +90,7 @@
         "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
     command.addAll(more);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "pumicekeel.cli.Main"));
-    return new Settings(instances, run, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), null, config, "t",
+    return new Settings(instances, run, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), operator, config, "t",
         command, new Limits(1, 60_000_000_000L, 20_000_000_000L, 300_000_000L, 100_000_000L, 1_000_000_000L, 5, 60_000_000_000L));
   }
 
@@ -109,12 +110,26 @@
   }
 
   private boolean allReady(int count) {
-    return status().split("\"state\":\"ready\"", -1).length - 1 == count;
+    return allReady(status(), count);
+  }
+
+  private static boolean allReady(String status, int count) {
+    return status.split("\"state\":\"ready\"", -1).length - 1 == count && pids(status).size() == count;
+  }
+
+  /** Both ready, and instance {@code changed} is another process: told by one answer, as the next may differ. */
+  private boolean bothReadyAndAnother(int changed, List<Long> before) {
+    String now = status();
+    return allReady(now, 2) && !pids(now).get(changed).equals(before.get(changed));
   }
 
   private List<Long> pids() {
+    return pids(status());
+  }
+
+  private static List<Long> pids(String status) {
     List<Long> out = new ArrayList<>();
-    for (Matcher m = PID.matcher(status()); m.find();) {
+    for (Matcher m = PID.matcher(status); m.find();) {
       out.add(Long.parseLong(m.group(1)));
     }
     return out;
@@ -136,10 +151,12 @@
 
   private static void until(BooleanSupplier condition) throws InterruptedException {
     long end = System.nanoTime() + GENEROUS_NANOS;
-    while (!condition.getAsBoolean() && System.nanoTime() < end) {
+    boolean holds = condition.getAsBoolean();
+    while (!holds && System.nanoTime() < end) {
       TimeUnit.MILLISECONDS.sleep(20);
+      holds = condition.getAsBoolean();
     }
-    assertTrue(condition.getAsBoolean(), "a condition that was waited for");
+    assertTrue(holds, "a condition that was waited for");
   }
 
   // ---- Tests --------------------------------------------------------------------------------------------
@@ -150,7 +167,7 @@
     until(() -> allReady(2));
     List<Long> first = pids();
     assertTrue(ProcessHandle.of(first.get(0)).orElseThrow().destroyForcibly());
-    until(() -> allReady(2) && !pids().equals(first));
+    until(() -> bothReadyAndAnother(0, first));
     assertEquals(first.get(1), pids().get(1));
     assertTrue(status().contains("\"crashes\":1"), status());
     List<Long> second = pids();
@@ -181,7 +198,7 @@
     assertEquals(pids, pids());
     // One that was taken over is watched like one's own.
     ProcessHandle.of(pids.get(1)).orElseThrow().destroyForcibly();
-    until(() -> allReady(2) && !pids().get(1).equals(pids.get(1)));
+    until(() -> bothReadyAndAnother(1, pids));
     assertEquals(2, processes().size());
   }
 
@@ -228,6 +245,25 @@
     assertNotEquals(before.get(0), pids().get(0));
   }
 
+  @Test
+  void operatorFileThatNoInstanceWouldTakeIsNotSentRound() throws Exception {
+    String good = "[sources.s]\nstatic = [{ name = \"u\", address = \"127.0.0.1:1\" }]\n[pools.p]\nsource = \"s\"\n[[routes]]\n"
+        + "pool = \"p\"\n";
+    operator = Files.writeString(folder.resolve("operator.toml"), good);
+    daemon(2);
+    until(() -> allReady(2));
+    List<Long> before = pids();
+    Files.writeString(operator, good.replace("source = ", "sorce = "));
+    String answer = Control.ask(run, "reload");
+    assertTrue(answer.contains("operator.toml:") && answer.contains("unknown key"), answer);
+    assertTrue(status().contains("\"work\":\"none\"") && status().contains("\"halted\":null"), status());
+    Files.writeString(operator, good.replace("\"p\"\n", "\"p\" # again\n"));
+    assertEquals("{\"ok\":true}", Control.ask(run, "reload"));
+    until(() -> status().contains("\"work\":\"none\""));
+    assertTrue(allReady(2));
+    assertEquals(before, pids());
+  }
+
   @Test
   void runDirectoryThatIsNoGoodIsOneLine() throws Exception {
     Path open = Files.createDirectory(folder.resolve("open"),
--- a/src/test/java/pumicekeel/node/TestNode.java
+++ b/src/test/java/pumicekeel/node/TestNode.java
@@ -79,9 +79,11 @@
   /** Waits for a condition, with a limit that only a hang reaches. */
   static void until(BooleanSupplier condition) throws InterruptedException {
     long end = System.nanoTime() + GENEROUS_NANOS;
-    while (!condition.getAsBoolean() && System.nanoTime() < end) {
+    boolean holds = condition.getAsBoolean();
+    while (!holds && System.nanoTime() < end) {
       Thread.sleep(5);
+      holds = condition.getAsBoolean();
     }
-    assertTrue(condition.getAsBoolean(), "a condition that was waited for");
+    assertTrue(holds, "a condition that was waited for");
   }
 }
