--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -177,6 +177,8 @@
       came(open.get(e.id()), e.deadlineNanos());
     } else if (event instanceof Retune e) {
       tune(e.settings());
+    } else if (event instanceof Quotas e) {
+      quotas.putAll(e.perSecond());
     }
   }
 
--- a/src/main/java/pumicekeel/Balancer.java
+++ b/src/main/java/pumicekeel/Balancer.java
@@ -131,7 +131,7 @@
 
   /** What happened. */
   sealed interface Event permits ListNews, Request, AnswerStarted, Outcome, ClientGone, TimerFired, ProbeResult,
-      PeerMessage, Retune, RequestCame {}
+      PeerMessage, Retune, RequestCame, Quotas {}
 
   /**
    * The last byte of a request has come that was told of as {@code coming}: upstreams begin it now, and its time counts
@@ -144,6 +144,12 @@
    */
   record Retune(Settings settings) implements Event {}
 
+  /**
+   * What this instance may admit of tenants' quotas from now on, in requests a second; it takes the place of its even part until
+   * the next {@link Retune}.
+   */
+  record Quotas(Map<String, Double> perSecond) implements Event {}
+
   /** News of the list of upstreams. An instance's first news is of kind CACHED. */
   record ListNews(ListKind kind, List<Listed> entries) implements Event {}
 
--- a/src/main/java/pumicekeel/cli/FleetCommand.java
+++ b/src/main/java/pumicekeel/cli/FleetCommand.java
@@ -1,8 +1,5 @@
 package pumicekeel.cli;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.net.InetSocketAddress;
@@ -10,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
@@ -18,6 +16,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.ParentCommand;
 import picocli.CommandLine.Spec;
+import pumicekeel.adapter.Fields;
 import pumicekeel.config.OperatorLoader;
 import pumicekeel.fleet.Control;
 import pumicekeel.fleet.Daemon;
@@ -70,6 +69,10 @@
       description = "How long a restarted instance has to stay ready before the next goes, 0 to 600000. Default: ${DEFAULT-VALUE}.")
   private long watchMillis;
 
+  @Option(names = "--hang-ms", paramLabel = "N", defaultValue = "15000", description = "A ready instance that has answered nothing"
+      + " for so long is killed and started again; 0 for never, else 1000 to 600000. Default: ${DEFAULT-VALUE}.")
+  private long hangMillis;
+
   @Option(names = "--flag", paramLabel = "FLAG", description = "A JVM flag instead of those of service; any number.")
   private List<String> flags;
 
@@ -117,9 +120,10 @@
       throw usage(e.getMessage());
     }
     if (instances < 1 || instances > Settings.MOST_INSTANCES || directory == null || config == null || away < 1
-        || away > instances || watchMillis < 0 || watchMillis > 600_000) {
+        || away > instances || watchMillis < 0 || watchMillis > 600_000
+        || hangMillis != 0 && (hangMillis < 1_000 || hangMillis > 600_000)) {
       throw usage("expected --instances 1 to " + Settings.MOST_INSTANCES + ", --run-dir, --config, --away 1 to N,"
-          + " --watch-ms 0 to 600000");
+          + " --watch-ms 0 to 600000, --hang-ms 0 or 1000 to 600000");
     }
     if (first.getPort() < 1 || first.getPort() + instances > 65_536) {
       throw usage("--listen: expected a port with " + instances + " from it on, got " + first.getPort());
@@ -128,7 +132,7 @@
       throw usage("--config: expected a file that can be read, got " + config);
     }
     return new Settings(instances, directory, first, operator == null ? null : operator.toAbsolutePath(),
-        config.toAbsolutePath(), name, command(flags == null ? FLAGS : flags), Limits.of(away, watchMillis * MS),
+        config.toAbsolutePath(), name, command(flags == null ? FLAGS : flags), Limits.of(away, watchMillis * MS, hangMillis * MS),
         oneAddress);
   }
 
@@ -192,25 +196,29 @@
     }
 
     private static void print(String answer, PrintWriter out) throws IOException {
-      out.println("instance state      for s   pid      listens at (or door)   crashes");
-      try (JsonParser p = new JsonFactory().createParser(answer)) {
-        List<String> row = new ArrayList<>();
-        StringBuilder rest = new StringBuilder();
-        int depth = 0;
-        for (JsonToken t = p.nextToken(); t != null; t = p.nextToken()) {
-          depth += t.isStructStart() ? 1 : t.isStructEnd() ? -1 : 0;
-          if (t.isScalarValue() && depth == 3) {
-            row.add(p.getText());
-          } else if (t.isScalarValue() && depth == 1) {
-            rest.append(rest.length() == 0 ? "" : ", ").append(p.currentName()).append(' ').append(p.getText());
-          } else if (t == JsonToken.END_OBJECT && depth == 2) {
-            out.printf("%8s %-10s %6.1f  %-8s %-22s %s%n", row.get(0), row.get(1), Long.parseLong(row.get(2)) / 1e3,
-                row.get(3), row.get(4), row.get(5));
-            row.clear();
-          }
-        }
-        out.println(rest);
+      Map<?, ?> status = Fields.parse("status", answer).values();
+      out.println("instance state      for s   pid      listens at (or door)   crashes  silent s  sees");
+      for (Object each : (List<?>) status.get("instances")) {
+        Map<?, ?> i = (Map<?, ?>) each;
+        out.printf("%8s %-10s %6.1f  %-8s %-22s %7s  %8.1f  %s%n", i.get("instance"), i.get("state"), seconds(i.get("for-ms")),
+            i.get("pid"), i.get(i.containsKey("door") ? "door" : "listen"), i.get("crashes"), seconds(i.get("silent-ms")),
+            i.get("peers") instanceof Map<?, ?> view ? seen(view) : "-");
       }
+      out.println("work " + status.get("work") + ", left " + status.get("left") + ", halted " + status.get("halted"));
+    }
+
+    private static double seconds(Object millis) {
+      return Double.parseDouble(String.valueOf(millis)) / 1e3;
+    }
+
+    /** One instance's view of the fleet, in a few words. */
+    private static String seen(Map<?, ?> view) {
+      return view.get("live") + " of " + view.get("size") + members(view, "suspect") + members(view, "dead")
+          + members(view, "unknown") + ("0".equals(String.valueOf(view.get("health"))) ? "" : ", itself late");
+    }
+
+    private static String members(Map<?, ?> view, String state) {
+      return view.get(state) instanceof List<?> some && !some.isEmpty() ? ", " + state + " " + some : "";
     }
   }
 
--- a/src/main/java/pumicekeel/cli/SimCommand.java
+++ b/src/main/java/pumicekeel/cli/SimCommand.java
@@ -11,10 +11,11 @@
 import picocli.CommandLine.Spec;
 import pumicekeel.sim.FleetSim;
 import pumicekeel.sim.ModuleSim;
+import pumicekeel.sim.QuotaSim;
 
 /** Simulations of the project's own, in virtual time; the platform's simulator speaks to {@code adapter}. */
 @Command(name = "sim", mixinStandardHelpOptions = true, description = "Simulate in virtual time, by a seed.",
-    subcommands = {SimCommand.Fleet.class, SimCommand.Modules.class})
+    subcommands = {SimCommand.Fleet.class, SimCommand.Modules.class, SimCommand.Quotas.class})
 final class SimCommand implements Callable<Integer> {
 
   @Spec
@@ -172,4 +173,63 @@
       return 0;
     }
   }
+
+  /** How a fleet shares quotas. */
+  @Command(name = "quotas", mixinStandardHelpOptions = true,
+      description = "How the members of a fleet lend each other parts of tenants' quotas, on a network that loses, repeats, delays"
+          + " and splits, with members that die, sleep and return. At every step all together may admit no more than the quota."
+          + " Then how much of what could be admitted is, with lending and with fixed even parts.",
+      footer = {"Exit status: 0 where all held, 1 at the first seed that did not; its line says how to repeat it."})
+  static final class Quotas implements Callable<Integer> {
+
+    private static final int LEAST = 3;
+    private static final int SPREAD = 18;
+
+    @Option(names = "--seed", paramLabel = "S", defaultValue = "1", description = "The first seed. Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(names = "--runs", paramLabel = "N", defaultValue = "1",
+        description = "Seeds from the first on, 1 to 10000000. Default: ${DEFAULT-VALUE}.")
+    private long runs;
+
+    @Option(names = "--size", paramLabel = "N", description = "Members, 2 to 1000. Default: 3 to 20 by the seed.")
+    private Integer size;
+
+    @Option(names = "--calm", description = "No faults: only demand moves.")
+    private boolean calm;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+      if (runs < 1 || runs > 10_000_000 || size != null && (size < 2 || size > 1_000)) {
+        throw new ParameterException(spec.commandLine(), "expected --runs 1 to 10000000, --size 2 to 1000");
+      }
+      PrintWriter out = spec.commandLine().getOut();
+      long step = Math.max(1, runs / 20);
+      double shared = 0;
+      double fixed = 0;
+      double bytes = 0;
+      for (long i = 0; i < runs; i++) {
+        long s = seed + i;
+        int of = size == null ? LEAST + (int) Math.floorMod(s * 7, (long) SPREAD) : size;
+        QuotaSim.Report r = new QuotaSim(s, of).run(!calm);
+        if (r.fault() != null) {
+          out.println("seed " + s + ": " + r.fault() + "; again by sim quotas --seed " + s + " --size " + of);
+          return 1;
+        }
+        shared += r.shared() / runs;
+        fixed += r.fixed() / runs;
+        bytes += r.bytes() * 1e9 / r.virtualNanos() / of / runs;
+        if (runs > 1 && (i + 1) % step == 0) {
+          out.println(i + 1 + " of " + runs);
+          out.flush();
+        }
+      }
+      out.printf("%d runs from seed %d: never more than the quota; of what it allowed %.1f %% was admitted, by fixed even parts"
+          + " %.1f %%; %.0f bytes a second a member%n", runs, seed, 100 * shared, 100 * fixed, bytes);
+      return 0;
+    }
+  }
 }
--- a/src/main/java/pumicekeel/config/Configuration.java
+++ b/src/main/java/pumicekeel/config/Configuration.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -20,7 +22,10 @@
  * @param read the file as it was read; empty where there was none
  */
 public record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-    HostList known, Settings settings, boolean supervised, InetSocketAddress admin, boolean inherited, Map<?, ?> read) {
+    HostList known, Settings settings, boolean supervised, SocketAddress admin, boolean inherited, Map<?, ?> read) {
+
+  /** An operators' door at a path of the file system, which only those reach who may enter there. */
+  public static final String PATH = "unix:";
 
   /** One of which nothing is known of others. */
   public Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
@@ -50,9 +55,12 @@
         f.values());
   }
 
-  private static InetSocketAddress admin(Map<String, String> environment, Fields f) {
+  private static SocketAddress admin(Map<String, String> environment, Fields f) {
     String variable = environment.getOrDefault("PROXY_ADMIN", "");
     String value = variable.isEmpty() ? f.text("admin", "") : variable;
+    if (value.startsWith(PATH)) {
+      return UnixDomainSocketAddress.of(value.substring(PATH.length()));
+    }
     return value.isEmpty() ? null : Addresses.parse("admin", value);
   }
 
--- a/src/main/java/pumicekeel/config/Operator.java
+++ b/src/main/java/pumicekeel/config/Operator.java
@@ -17,15 +17,25 @@
 import pumicekeel.upstream.jsonrpc.ServerSettings;
 
 /**
- * An operator file that has passed its checks: one generation of listeners, sources, pools and routes. {@code peers}: where
- * the fleet's members speak to each other, in the order of their numbers; empty for no membership. It counts at a start only.
+ * An operator file that has passed its checks: one generation of listeners, sources, pools and routes. {@code peers} counts at a
+ * start only.
  */
 public record Operator(Process process, Map<String, Listener> listeners, Map<String, Source> sources,
-    Map<String, Pool> pools, List<Route> routes, Journal journal, List<InetSocketAddress> peers) {
+    Map<String, Pool> pools, List<Route> routes, Journal journal, Peers peers) {
 
   /** The listener and the source that the platform's own configuration names. */
   public static final String PLATFORM = "platform";
 
+  /**
+   * Where the fleet's members speak to each other, in the order of their numbers; no address for no membership.
+   *
+   * @param lendQuotas whether they lend each other parts of tenants' quotas
+   */
+  public record Peers(List<InetSocketAddress> addresses, boolean lendQuotas) {
+
+    static final Peers NONE = new Peers(List.of(), false);
+  }
+
   /** Room of the whole process, null where the platform's figures decide; taken over at a start only. */
   public record Process(Long clientSockets, Long upstreamSockets, Long openRequests, Long bodyBytes) {}
 
--- a/src/main/java/pumicekeel/config/OperatorReader.java
+++ b/src/main/java/pumicekeel/config/OperatorReader.java
@@ -126,7 +126,7 @@
     }
     List<Route> routes = new RouteReader(pools, listeners.keySet(), faults).routes(root, defaultPool);
     Operator.Journal journal = journal(root.table("journal"));
-    List<InetSocketAddress> peers = peers(root.table("peers"));
+    Operator.Peers peers = peers(root.table("peers"));
     root.done();
     checkRoom(root, process, pools);
     return new Operator(process, listeners, sources, pools, routes, journal, peers);
@@ -146,11 +146,11 @@
     return process;
   }
 
-  /** {@code addresses}, or {@code first} and {@code count}: consecutive ports, as a fleet's daemon hands them out. */
-  private static List<InetSocketAddress> peers(Section s) {
+  private static Operator.Peers peers(Section s) {
     if (s == null) {
-      return List.of();
+      return Operator.Peers.NONE;
     }
+    boolean lend = Boolean.TRUE.equals(s.bool("lend-quotas"));
     List<InetSocketAddress> out = new ArrayList<>();
     for (String text : or(s.texts("addresses"), List.<String>of())) {
       try {
@@ -163,7 +163,7 @@
     if (out.size() < 2 || out.size() > Datagram.MOST_MEMBERS || Set.copyOf(out).size() != out.size()) {
       s.fault("addresses", "expected 2 to " + Datagram.MOST_MEMBERS + " addresses, each once, in the order of the instances");
     }
-    return out;
+    return new Operator.Peers(out, lend);
   }
 
   private static Operator.Journal journal(Section s) {
--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -19,6 +19,7 @@
 import pumicekeel.Balancer.ListKind;
 import pumicekeel.Balancer.ListNews;
 import pumicekeel.Balancer.Outcome;
+import pumicekeel.Balancer.Quotas;
 import pumicekeel.Balancer.Refuse;
 import pumicekeel.Balancer.Request;
 import pumicekeel.Balancer.RequestCame;
@@ -68,6 +69,7 @@
   private final List<OpenRequest> over = new ArrayList<>();
   private Consumer<Boolean> watch = on -> {};
   private boolean handling;
+  private QuotaSource quotas;
   private long endsAt = Long.MAX_VALUE;
 
   public BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, LoopLag lag,
@@ -103,6 +105,22 @@
     }
   }
 
+  /** From now on what this instance may admit of tenants' quotas is said by somebody else; null for its even part. */
+  public void quotas(QuotaSource source) {
+    if (quotas != null && source == null) {
+      tell(new Retune(settings()));
+    }
+    quotas = source;
+  }
+
+  /** The rates in force now, before a request is judged by them. */
+  private void askQuotas(String tenant, long now) {
+    Map<String, Double> rates = quotas == null || tenant == null ? null : quotas.asked(tenant, now);
+    if (rates != null) {
+      tell(new Quotas(rates));
+    }
+  }
+
   // ---- Clients ------------------------------------------------------------------------------------------
 
   /** Takes a request; false where its id is open already, which must not replace the first one. */
@@ -126,6 +144,7 @@
     } else {
       r.guard = loop.schedule(() -> answerForModule(r), left + GUARD_NANOS, TimeUnit.NANOSECONDS);
     }
+    askQuotas(request.tenant(), now);
     tell(new Request(request.id(), request.type().name(), request.tenant(), request.key(), r.deadline,
         request.hintNanos(), request.retry(), earlier, former(request), coming));
     return true;
--- a/src/main/java/pumicekeel/fleet/Daemon.java
+++ b/src/main/java/pumicekeel/fleet/Daemon.java
@@ -2,7 +2,6 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.Socket;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
@@ -22,6 +21,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import pumicekeel.config.OperatorLoader;
+import pumicekeel.fleet.InstanceDoor.Look;
 import pumicekeel.fleet.Supervisor.Action;
 import pumicekeel.fleet.Supervisor.State;
 import pumicekeel.fleet.Supervisor.Work;
@@ -33,8 +33,8 @@
 public final class Daemon implements Closeable {
 
   private static final long LOOK_MILLIS = 50;
-  /** A look at whether an instance is up may not keep the others waiting. */
-  private static final int UP_MILLIS = 250;
+  /** Between two looks at whether a ready instance still answers. */
+  private static final long READY_LOOK_NANOS = 1_000_000_000L;
   private static final int LOOKERS = 4;
   /** A command's line; a client that sends more or nothing is cut off. */
   private static final int MOST_LINE = 256;
@@ -47,9 +47,13 @@
   private final RunDirectory run;
   private final Processes processes;
   private final Supervisor supervisor;
+  private final InstanceDoor door;
   private final Consumer<String> log;
   private final ProcessHandle[] handles;
   private final boolean[] asked;
+  private final long[] askedAt;
+  /** What each holds of the fleet, as it last said; null where it says nothing. */
+  private final String[] views;
   private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor(named("fleet"));
   private final ExecutorService lookers = Executors.newFixedThreadPool(LOOKERS, named("look"));
   private final CountDownLatch over = new CountDownLatch(1);
@@ -71,10 +75,13 @@
       checkSocket();
     }
     run = RunDirectory.take(settings.directory());
-    processes = new Processes(settings, run);
+    processes = new Processes(settings, run, log);
+    door = new InstanceDoor(settings, run);
     supervisor = new Supervisor(settings.instances(), settings.limits());
     handles = new ProcessHandle[settings.instances()];
     asked = new boolean[settings.instances()];
+    askedAt = new long[settings.instances()];
+    views = new String[settings.instances()];
   }
 
   /** The instances find out whether it listens; a file or a terminal would only make each of them end. */
@@ -130,6 +137,7 @@
     process.onExit().thenAccept(ended -> loop.execute(() -> {
       if (handles[i] == process) {
         handles[i] = null;
+        views[i] = null;
         carryOut(supervisor.exited(i, status.getAsInt(), System.nanoTime()));
       }
     }));
@@ -139,18 +147,16 @@
     long now = System.nanoTime();
     carryOut(supervisor.tick(now));
     for (int i = 0; i < handles.length; i++) {
-      if (supervisor.stateOf(i) == State.STARTING && handles[i] != null && !asked[i]) {
+      boolean starts = supervisor.stateOf(i) == State.STARTING;
+      boolean looks = starts || supervisor.stateOf(i) == State.READY && now - askedAt[i] >= READY_LOOK_NANOS;
+      if (looks && handles[i] != null && !asked[i]) {
         asked[i] = true;
+        askedAt[i] = now;
         int instance = i;
         ProcessHandle of = handles[i];
         lookers.execute(() -> {
-          boolean up = isUp(instance);
-          loop.execute(() -> {
-            asked[instance] = false;
-            if (up && handles[instance] == of) {
-              carryOut(supervisor.ready(instance, System.nanoTime()));
-            }
-          });
+          Look look = door.look(instance, !starts);
+          loop.execute(() -> looked(instance, of, look));
         });
       }
     }
@@ -159,21 +165,17 @@
     }
   }
 
-  private boolean isUp(int instance) {
-    try (Socket socket = new Socket()) {
-      socket.setSoTimeout(UP_MILLIS);
-      socket.connect(settings.addressOf(instance), UP_MILLIS);
-      if (settings.oneAddress()) {
-        // What is asked at the address of all may be answered by any.
-        socket.getOutputStream().write("readyz\n".getBytes(StandardCharsets.US_ASCII));
-        return new String(socket.getInputStream().readNBytes(3), StandardCharsets.US_ASCII).equals("YES");
-      }
-      socket.getOutputStream().write("GET /up HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n"
-          .getBytes(StandardCharsets.US_ASCII));
-      byte[] head = socket.getInputStream().readNBytes(12);
-      return new String(head, StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
-    } catch (IOException e) {
-      return false;
+  private void looked(int instance, ProcessHandle of, Look look) {
+    asked[instance] = false;
+    if (handles[instance] != of) {
+      return;
+    }
+    views[instance] = look.view();
+    if (look.answered()) {
+      supervisor.heard(instance, System.nanoTime());
+    }
+    if (look.up()) {
+      carryOut(supervisor.ready(instance, System.nanoTime()));
     }
   }
 
@@ -298,7 +300,8 @@
           .append(handles[i] == null ? "null" : Long.toString(handles[i].pid()))
           .append(settings.oneAddress() ? ",\"door\":\"" : ",\"listen\":\"")
           .append(settings.first().getAddress().getHostAddress()).append(':').append(settings.addressOf(i).getPort())
-          .append("\",\"crashes\":").append(supervisor.crashesOf(i)).append('}');
+          .append("\",\"crashes\":").append(supervisor.crashesOf(i)).append(",\"silent-ms\":")
+          .append(TimeUnit.NANOSECONDS.toMillis(supervisor.silentFor(i, now))).append(",\"peers\":").append(views[i]).append('}');
     }
     out.append("],\"work\":\"").append(supervisor.work().name().toLowerCase(Locale.ROOT)).append("\",\"left\":")
         .append(supervisor.workLeft()).append(",\"halted\":")
@@ -328,6 +331,7 @@
   public void close() throws IOException {
     loop.shutdownNow();
     lookers.shutdownNow();
+    door.close();
     if (control != null) {
       control.close();
     }
--- a/src/main/java/pumicekeel/fleet/Processes.java
+++ b/src/main/java/pumicekeel/fleet/Processes.java
@@ -1,6 +1,7 @@
 package pumicekeel.fleet;
 
 import java.io.File;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -9,6 +10,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.function.Consumer;
+import pumicekeel.config.Configuration;
 
 /**
  * The instances' processes. Each carries its run directory and number on its command line, so that a daemon finds what an
@@ -21,8 +24,10 @@
   private final Settings settings;
   private final RunDirectory run;
   private final String mark;
+  private final Consumer<String> say;
 
-  Processes(Settings settings, RunDirectory run) {
+  Processes(Settings settings, RunDirectory run, Consumer<String> say) {
+    this.say = say;
     this.settings = settings;
     this.run = run;
     mark = MARK + UUID.nameUUIDFromBytes(run.path().toString().getBytes(StandardCharsets.UTF_8)) + ":";
@@ -39,8 +44,7 @@
       command.addAll(List.of("--operator", settings.operator().toString()));
     }
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-    File log = run.logOf(instance).toFile();
-    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log)).redirectInput(settings.oneAddress()
+    builder.redirectOutput(log(instance)).redirectInput(settings.oneAddress()
         ? ProcessBuilder.Redirect.INHERIT : ProcessBuilder.Redirect.from(new File("/dev/null")));
     builder.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
     builder.environment().put("PROXY_CONFIG", settings.configuration().toString());
@@ -48,12 +52,28 @@
     if (settings.oneAddress()) {
       builder.environment().put("PROXY_SOCKET_FD", "0");
     }
-    builder.environment().put(settings.oneAddress() ? "PROXY_ADMIN" : "PROXY_LISTEN",
-        settings.first().getAddress().getHostAddress() + ":" + settings.addressOf(instance).getPort());
+    String address = settings.first().getAddress().getHostAddress() + ":" + settings.addressOf(instance).getPort();
+    if (settings.oneAddress()) {
+      builder.environment().put("PROXY_ADMIN", address);
+    } else {
+      builder.environment().put("PROXY_LISTEN", address);
+      builder.environment().put("PROXY_ADMIN", Configuration.PATH + RunDirectory.door(run.path(), instance));
+    }
     builder.environment().put("PROXY_GROUP", instance + "/" + settings.instances());
     return builder.start();
   }
 
+  /** Its log; where none can be written it runs without: better than an instance that does not start. */
+  private ProcessBuilder.Redirect log(int instance) {
+    File log = run.logOf(instance).toFile();
+    try (FileOutputStream probe = new FileOutputStream(log, true)) {
+      return ProcessBuilder.Redirect.appendTo(log);
+    } catch (IOException e) {
+      say.accept("instance " + instance + " runs without a log: " + e.getMessage());
+      return ProcessBuilder.Redirect.DISCARD;
+    }
+  }
+
   /** Processes of this run directory that are alive, those of an instance the oldest first. */
   List<ProcessHandle> of(int instance) {
     return all().stream().filter(p -> markOf(p).orElse("").equals(mark + instance + ":"))
--- a/src/main/java/pumicekeel/fleet/RunDirectory.java
+++ b/src/main/java/pumicekeel/fleet/RunDirectory.java
@@ -49,8 +49,8 @@
     } catch (java.nio.file.FileSystemException e) {
       throw new IOException("run directory " + path + ": cannot be made or entered: " + reason(e));
     }
-    if (socket(directory).toString().length() > MOST_SOCKET_PATH) {
-      throw new IOException("run directory " + path + ": expected a path of at most " + (MOST_SOCKET_PATH - 8) + " characters");
+    if (door(directory, Settings.MOST_INSTANCES - 1).toString().length() > MOST_SOCKET_PATH) {
+      throw new IOException("run directory " + path + ": expected a path of at most " + (MOST_SOCKET_PATH - 9) + " characters");
     }
     FileChannel channel;
     try {
@@ -78,6 +78,11 @@
     return directory.resolve("control");
   }
 
+  /** Where an instance has its operators' door. */
+  static Path door(Path directory, int instance) {
+    return directory.resolve("door-" + instance);
+  }
+
   Path path() {
     return directory;
   }
--- a/src/main/java/pumicekeel/fleet/Supervisor.java
+++ b/src/main/java/pumicekeel/fleet/Supervisor.java
@@ -43,9 +43,15 @@
     private boolean killed;
     /** Restarted by the work that goes on, so a crash of it halts that. */
     private boolean fresh;
+    private long heardAt;
+    /** Killed since it answered nothing, and not ready again. */
+    private boolean hung;
     private final ArrayDeque<Long> crashes = new ArrayDeque<>();
   }
 
+  /** A daemon that did not come to look for this part of the bound on silence has slept. */
+  private static final int SLEPT_PART = 4;
+
   private final Limits limits;
   private final List<Instance> instances = new ArrayList<>();
   private final ArrayDeque<Integer> left = new ArrayDeque<>();
@@ -54,6 +60,7 @@
   private Work work = Work.NONE;
   private String halted;
   private boolean stopping;
+  private long tickedAt;
 
   public Supervisor(int count, Limits limits) {
     if (count < 1 || limits.mostAway() < 1) {
@@ -144,11 +151,46 @@
   public List<Action> ready(int i, long now) {
     if (stateOf(i) == State.STARTING) {
       to(i, State.READY, now);
+      instances.get(i).heardAt = now;
+      instances.get(i).hung = false;
       out.add(new Say("instance " + i + " is ready"));
     }
     return done();
   }
 
+  /** It has answered something, whatever: its loop turns. */
+  public void heard(int i, long now) {
+    instances.get(i).heardAt = now;
+  }
+
+  /** How long a ready one has answered nothing. */
+  public long silentFor(int i, long now) {
+    return stateOf(i) == State.READY ? now - instances.get(i).heardAt : 0;
+  }
+
+  /**
+   * One that is ready and answers nothing is ended, as many at once as may be away: where more are silent, the machine may be at
+   * fault, and what still moves is not to be killed. Silence while this daemon itself slept is no one's.
+   */
+  private void endHung(long now) {
+    boolean slept = now - tickedAt > limits.hangNanos() / SLEPT_PART;
+    tickedAt = now;
+    if (limits.hangNanos() == 0) {
+      return;
+    }
+    long ending = instances.stream().filter(it -> it.hung).count();
+    for (int i = 0; i < size(); i++) {
+      Instance it = instances.get(i);
+      it.heardAt = slept ? now : it.heardAt;
+      if (silentFor(i, now) > limits.hangNanos() && !it.hung && ending < limits.mostAway()) {
+        it.hung = true;
+        ending++;
+        out.add(new Say("instance " + i + " has answered nothing for " + silentFor(i, now) / 1_000_000 + " ms: killed"));
+        out.add(new Kill(i));
+      }
+    }
+  }
+
   /** Its process has ended, or could not be started. */
   public List<Action> exited(int i, int status, long now) {
     Instance it = instances.get(i);
@@ -177,6 +219,7 @@
     forgetOldCrashes(it, now);
     if (it.crashes.size() > limits.mostCrashes()) {
       to(i, State.GIVEN_UP, now);
+      it.hung = false;
       out.add(new Say("instance " + i + " is left down: " + it.crashes.size() + " crashes"));
       return;
     }
@@ -193,6 +236,7 @@
 
   /** Time has passed. */
   public List<Action> tick(long now) {
+    endHung(now);
     for (int i = 0; i < size(); i++) {
       Instance it = instances.get(i);
       long been = now - it.since;
@@ -261,6 +305,7 @@
         out.add(new Hangup(i));
       } else if (it.state == State.GIVEN_UP) {
         it.crashes.clear();
+        it.hung = false;
         it.fresh = true;
         begin(i, now);
       } else {
--- a/src/main/java/pumicekeel/front/admin/AdminSide.java
+++ b/src/main/java/pumicekeel/front/admin/AdminSide.java
@@ -6,8 +6,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import java.net.InetSocketAddress;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Files;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.UnaryOperator;
@@ -33,13 +37,18 @@
     this.calls = calls;
   }
 
-  /** Listens; waits for the bind, so it is not for the loop. */
-  public InetSocketAddress listen(InetSocketAddress at) throws InterruptedException {
-    listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+  /** Listens at an address, or at a path of the file system; waits for the bind, so it is not for the loop. */
+  public SocketAddress listen(SocketAddress at) throws IOException, InterruptedException {
+    ServerBootstrap bootstrap = new ServerBootstrap().group(loop, loop).option(ChannelOption.SO_BACKLOG, BACKLOG);
+    if (at instanceof UnixDomainSocketAddress path) {
+      // Left by a process that was killed.
+      Files.deleteIfExists(path.getPath());
+      bootstrap.channel(NioServerDomainSocketChannel.class);
+    } else {
+      bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+          .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+    }
+    listener = bootstrap
         .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(AdminHandler.MOST_LINE))
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
@@ -48,7 +57,7 @@
             opened(channel);
           }
         }).bind(at).sync().channel();
-    return (InetSocketAddress) listener.localAddress();
+    return listener.localAddress();
   }
 
   private void opened(Channel channel) {
--- /dev/null
+++ b/src/main/java/pumicekeel/node/LentQuotas.java
@@ -0,0 +1,98 @@
+package pumicekeel.node;
+
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pumicekeel.Balancer.Tenant;
+import pumicekeel.core.QuotaSource;
+import pumicekeel.peers.Membership;
+import pumicekeel.peers.PeerService;
+import pumicekeel.quota.QuotaExchange;
+import pumicekeel.quota.QuotaSettings;
+
+/** The pools' tenants in the fleet's exchange of quotas, and its datagrams on the members' socket. Only on the loop. */
+final class LentQuotas implements PeerService {
+
+  private final QuotaExchange exchange;
+  private final Map<String, List<String>> tenants = new HashMap<>();
+  /** Rises with each change of rates; a pool that has seen it asks no more. */
+  private long version;
+
+  LentQuotas(int self, int size, long epochMillis, long seed) {
+    exchange = new QuotaExchange(QuotaSettings.USUAL, self, size, epochMillis, seed, System.nanoTime());
+  }
+
+  /** The pools from now on. */
+  void pools(Collection<ServicePool> pools) {
+    Map<String, Double> quotas = new HashMap<>();
+    tenants.clear();
+    for (ServicePool pool : pools) {
+      List<Tenant> with = pool.settings().tenants().stream().filter(t -> t.quotaPerSecond() > 0).toList();
+      tenants.put(pool.name(), with.stream().map(Tenant::name).toList());
+      with.forEach(t -> quotas.put(key(pool.name(), t.name()), t.quotaPerSecond()));
+    }
+    exchange.quotas(quotas, System.nanoTime());
+    version++;
+  }
+
+  private static String key(String pool, String tenant) {
+    return pool + '\n' + tenant;
+  }
+
+  /** What one pool's module is told. */
+  QuotaSource of(String pool) {
+    return new QuotaSource() {
+      private long seen;
+
+      @Override
+      public Map<String, Double> asked(String tenant, long now) {
+        long at = System.nanoTime();
+        exchange.asked(key(pool, tenant), 1, at);
+        version += exchange.changed(at) ? 1 : 0;
+        if (seen == version) {
+          return null;
+        }
+        seen = version;
+        Map<String, Double> rates = new HashMap<>();
+        tenants.getOrDefault(pool, List.of()).forEach(t -> rates.put(t, Math.max(LEAST, exchange.rate(key(pool, t), at))));
+        return rates;
+      }
+    };
+  }
+
+  /** To a module 0 is no quota at all. */
+  private static final double LEAST = 1e-6;
+
+  /** Requests a second that this instance may admit of a tenant's quota now. */
+  double rate(String pool, String tenant) {
+    return exchange.rate(key(pool, tenant), System.nanoTime());
+  }
+
+  // ---- Datagrams ----------------------------------------------------------------------------------------
+
+  @Override
+  public boolean speaks(byte[] bytes) {
+    return QuotaExchange.speaks(bytes);
+  }
+
+  @Override
+  public List<Membership.Out> receive(int from, byte[] bytes, long now) {
+    return out(exchange.receive(from, bytes, now));
+  }
+
+  @Override
+  public List<Membership.Out> tick(long now, BitSet live) {
+    return out(exchange.tick(now, live));
+  }
+
+  @Override
+  public long nextAt() {
+    return exchange.nextAt();
+  }
+
+  private static List<Membership.Out> out(List<QuotaExchange.Out> out) {
+    return out.stream().map(o -> new Membership.Out(o.to(), o.bytes())).toList();
+  }
+}
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.List;
@@ -64,7 +65,7 @@
   private boolean draining;
   private final Rotation rotation = new Rotation();
   private final AdminSide admin;
-  private InetSocketAddress adminAddress;
+  private SocketAddress adminAddress;
   private boolean rotating;
   private final CountDownLatch ready = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -81,7 +82,7 @@
     services = operator == null ? null : new Services(configuration, operator, loop, lag, this::defect);
     serving = services == null ? new OnePool(configuration, loop, lag, this::defect) : services;
     firstGeneration = operator;
-    OperatorCalls calls = new OperatorCalls(rotation, this::rotate);
+    OperatorCalls calls = new OperatorCalls(rotation, this::rotate, () -> peers == null ? null : peers.view());
     admin = new AdminSide(loop, line -> calls.answer(line, System.nanoTime()));
     listeners = new Listeners(loop, serving.door(), services == null ? Rooms.clientSockets(configuration)
         : services.rooms().clientSockets(), warmUpPath, new RequestIds(configuration.name(), System.currentTimeMillis()));
@@ -187,11 +188,19 @@
   }
 
   private void openPeers() throws InterruptedException {
-    List<InetSocketAddress> all = firstGeneration == null ? List.of() : firstGeneration.peers();
+    List<InetSocketAddress> all = firstGeneration == null ? List.of() : firstGeneration.peers().addresses();
     if (!all.isEmpty()) {
       int me = configuration.settings().me();
-      peers = new PeerLink(loop, all, me, System.currentTimeMillis(), configuration.seed() + me, Log::line);
+      long epoch = System.currentTimeMillis();
+      peers = new PeerLink(loop, all, me, epoch, configuration.seed() + me, Log::line);
       peers.open(all.get(me));
+      if (firstGeneration.peers().lendQuotas()) {
+        LentQuotas quotas = new LentQuotas(me, all.size(), epoch, configuration.seed() - me);
+        loop.submit(() -> {
+          services.lend(quotas);
+          peers.carry(quotas);
+        }).syncUninterruptibly();
+      }
     }
   }
 
@@ -303,7 +312,7 @@
 
   /** Where operators call; null where nobody does. */
   InetSocketAddress adminAddress() {
-    return adminAddress;
+    return (InetSocketAddress) adminAddress;
   }
 
   /** An operator has called: begins to send clients away, or takes them again. */
--- a/src/main/java/pumicekeel/node/ServicePool.java
+++ b/src/main/java/pumicekeel/node/ServicePool.java
@@ -113,6 +113,11 @@
     core.retune(next);
   }
 
+  /** Has its tenants' quotas lent and borrowed; null for even parts. */
+  void lend(LentQuotas quotas) {
+    core.quotas(quotas == null ? null : quotas.of(name()));
+  }
+
   BalancerCore core() {
     return core;
   }
--- a/src/main/java/pumicekeel/node/Services.java
+++ b/src/main/java/pumicekeel/node/Services.java
@@ -69,6 +69,7 @@
   private RouteTable table;
   private InetSocketAddress platformDiscovery;
   private JournalLog journal;
+  private LentQuotas lending;
   private boolean turning;
   private boolean sweeping;
   private boolean started;
@@ -147,9 +148,14 @@
     }
     checkMethods(configuration, next);
     int me = configuration.settings().me();
-    if (!next.peers().isEmpty() && me >= next.peers().size()) {
-      throw new IllegalArgumentException("peers.addresses: expected one for this instance, number " + me + ", got "
-          + next.peers().size());
+    int members = next.peers().addresses().size();
+    if (members > 0 && me >= members) {
+      throw new IllegalArgumentException("peers.addresses: expected one for this instance, number " + me + ", got " + members);
+    }
+    int group = configuration.settings().groupSize();
+    if (next.peers().lendQuotas() && members != group) {
+      throw new IllegalArgumentException("peers.lend-quotas: expected an address for each balancer of the group, " + group
+          + ", got " + members);
     }
   }
 
@@ -209,6 +215,7 @@
   public void reload(Configuration next) {
     configuration = next;
     pools.values().forEach(p -> p.retune(settingsOf(p.spec())));
+    quotasChanged();
     platformDiscovery = next.discovery();
     UpstreamSource source = sources.get(Operator.PLATFORM);
     if (source != null) {
@@ -263,6 +270,7 @@
         fresh.add(pool);
       }
       pool.spec(spec);
+      pool.lend(lending);
       after.put(spec.name(), pool);
     }
     List<RoomPlan.Part> socketParts = plan("sockets", rooms.upstreamSockets(), next, Operator.Pool::sockets);
@@ -272,10 +280,24 @@
     resize(next, socketParts);
     operator = next;
     table = new RouteTable(next.routes());
+    quotasChanged();
     fresh.forEach(ServicePool::start);
     sources.keySet().removeIf(name -> !next.sources().containsKey(name));
   }
 
+  /** Has tenants' quotas lent and borrowed between the members of the fleet from now on; null for even parts. */
+  void lend(LentQuotas quotas) {
+    lending = quotas;
+    pools.values().forEach(p -> p.lend(quotas));
+    quotasChanged();
+  }
+
+  private void quotasChanged() {
+    if (lending != null) {
+      lending.pools(pools.values());
+    }
+  }
+
   private void resize(Operator next, List<RoomPlan.Part> sockets) {
     List<RoomPlan.Part> open = plan("open-requests", rooms.openRequests(), next, Operator.Pool::open);
     List<RoomPlan.Part> body = plan("body-memory-kib", rooms.bodyBytes(), next, Operator.Pool::body);
--- a/src/main/java/pumicekeel/operation/OperatorCalls.java
+++ b/src/main/java/pumicekeel/operation/OperatorCalls.java
@@ -1,15 +1,23 @@
 package pumicekeel.operation;
 
+import java.util.function.Supplier;
+
 /** The operators' calls, a line each, answered with a line that begins with YES or NO. No I/O; only on the loop. */
 public final class OperatorCalls {
 
   private final Rotation rotation;
   private final Runnable changed;
 
-  /** {@code changed} is run after a call that may have changed whether clients are taken. */
-  public OperatorCalls(Rotation rotation, Runnable changed) {
+  private final Supplier<String> view;
+
+  /**
+   * {@code changed} is run after a call that may have changed whether clients are taken; {@code view} is what this instance holds of
+   * its fleet, null where it has none.
+   */
+  public OperatorCalls(Rotation rotation, Runnable changed, Supplier<String> view) {
     this.rotation = rotation;
     this.changed = changed;
+    this.view = view;
   }
 
   /** The answer to a line without its end. */
@@ -26,7 +34,11 @@
         changed.run();
         yield again ? "YES takes clients again" : "NO " + rotation.reason();
       }
-      default -> "NO unknown call: expected readyz, evacuate or activate";
+      case "peers" -> {
+        String seen = view.get();
+        yield seen == null ? "NO peers: the operator file has none" : "YES " + seen;
+      }
+      default -> "NO unknown call: expected readyz, evacuate, activate or peers";
     };
   }
 }
--- a/src/main/java/pumicekeel/peers/Datagram.java
+++ b/src/main/java/pumicekeel/peers/Datagram.java
@@ -77,6 +77,11 @@
     return new Datagram(Kind.values()[kind], from, epoch, incarnation, sequence, target, rumours);
   }
 
+  /** Whether it begins as one of this protocol in another version, which this build can't read. */
+  static boolean isOfAnotherVersion(byte[] bytes) {
+    return bytes.length > 3 && bytes.length <= MOST && ByteBuffer.wrap(bytes).getShort() == MAGIC && bytes[2] != VERSION;
+  }
+
   private static boolean sound(long epoch) {
     return epoch >= 0 && epoch < MOST_EPOCH;
   }
--- a/src/main/java/pumicekeel/peers/Membership.java
+++ b/src/main/java/pumicekeel/peers/Membership.java
@@ -84,6 +84,7 @@
   private int health;
   private long received;
   private long discarded;
+  private long otherVersions;
   private long falseSuspicions;
   private final List<Out> out = new ArrayList<>();
 
@@ -152,6 +153,11 @@
     return discarded;
   }
 
+  /** Those among them that a build of another version sent: a rolling deploy, or a member that was left out of it. */
+  public long otherVersions() {
+    return otherVersions;
+  }
+
   /** Suspicions of this member that it had to take back. */
   public long refuted() {
     return falseSuspicions;
@@ -335,6 +341,9 @@
   /** Takes a datagram that came from the address of a member, and hands over what is to be sent. */
   public List<Out> receive(int from, byte[] bytes, long now) {
     Datagram d = Datagram.of(bytes, size);
+    if (d == null && Datagram.isOfAnotherVersion(bytes)) {
+      otherVersions++;
+    }
     if (d == null || d.from() != from || from == self) {
       discarded++;
       return List.of();
--- a/src/main/java/pumicekeel/peers/PeerLink.java
+++ b/src/main/java/pumicekeel/peers/PeerLink.java
@@ -1,7 +1,6 @@
 package pumicekeel.peers;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -39,6 +38,7 @@
   private int told;
   private long strangers;
   private boolean closed;
+  private PeerService service;
 
   /** The member of this number; {@code epochMillis} is the wall clock's reading at the start. */
   public PeerLink(EventLoop loop, List<InetSocketAddress> peers, int self, long epochMillis, long seed, Consumer<String> log) {
@@ -68,8 +68,9 @@
         strangers++;
         return;
       }
-      ByteBuf content = packet.content();
-      send(membership.receive(from, ByteBufUtil.getBytes(content), System.nanoTime()));
+      byte[] bytes = ByteBufUtil.getBytes(packet.content());
+      long now = System.nanoTime();
+      send(service != null && service.speaks(bytes) ? service.receive(from, bytes, now) : membership.receive(from, bytes, now));
       next();
     }
 
@@ -90,7 +91,11 @@
 
   private void tick() {
     timer = null;
-    send(membership.tick(System.nanoTime()));
+    long now = System.nanoTime();
+    send(membership.tick(now));
+    if (service != null) {
+      send(service.tick(now, membership.liveSet()));
+    }
     next();
   }
 
@@ -107,7 +112,19 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    timer = loop.schedule(this::tick, Math.max(LEAST_NANOS, membership.nextAt() - System.nanoTime()), TimeUnit.NANOSECONDS);
+    long due = service == null ? membership.nextAt() : Math.min(membership.nextAt(), service.nextAt());
+    timer = loop.schedule(this::tick, Math.max(LEAST_NANOS, due - System.nanoTime()), TimeUnit.NANOSECONDS);
+  }
+
+  /** Has another protocol spoken on this socket too; only on the loop. */
+  public void carry(PeerService other) {
+    service = other;
+    next();
+  }
+
+  /** What this member holds of the others, a line of JSON. */
+  public String view() {
+    return new PeerView(membership, peers.size(), strangers).json();
   }
 
   public Membership membership() {
--- a/src/test/java/pumicekeel/fleet/DaemonTest.java
+++ b/src/test/java/pumicekeel/fleet/DaemonTest.java
@@ -91,7 +91,8 @@
     command.addAll(more);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "pumicekeel.cli.Main"));
     return new Settings(instances, run, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), operator, config, "t",
-        command, new Limits(1, 60_000_000_000L, 20_000_000_000L, 300_000_000L, 100_000_000L, 1_000_000_000L, 5, 60_000_000_000L));
+        command, new Limits(1, 60_000_000_000L, 20_000_000_000L, 300_000_000L, 100_000_000L, 1_000_000_000L,
+            2_000_000_000L, 5, 60_000_000_000L));
   }
 
   private Daemon daemon(int instances, String... more) throws Exception {
