Tests of lent quotas, silent instances, logs that can't be written; a reload skips one given up

OneAddressTest took one free port for two doors and failed once when the second was taken; it takes a pair.

--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -113,8 +113,8 @@
     quotas = source;
   }
 
-  /** The rates in force now, before a request is judged by them. */
-  private void askQuotas(String tenant, long now) {
+  /** Has the rates in force told to the module, before a request of this tenant is judged by them. */
+  public void askQuotas(String tenant, long now) {
     Map<String, Double> rates = quotas == null || tenant == null ? null : quotas.asked(tenant, now);
     if (rates != null) {
       tell(new Quotas(rates));
--- a/src/main/java/pumicekeel/fleet/Supervisor.java
+++ b/src/main/java/pumicekeel/fleet/Supervisor.java
@@ -297,6 +297,10 @@
     }
     while (!left.isEmpty() && away.size() < limits.mostAway() && othersReady()) {
       int i = left.poll();
+      if (work == Work.RELOAD && stateOf(i) != State.READY) {
+        // Given up since the work began: it reads the file when it is started again.
+        continue;
+      }
       away.add(i);
       Instance it = instances.get(i);
       if (work == Work.RELOAD) {
--- a/src/main/java/pumicekeel/node/Services.java
+++ b/src/main/java/pumicekeel/node/Services.java
@@ -292,6 +292,10 @@
     quotasChanged();
   }
 
+  LentQuotas lending() {
+    return lending;
+  }
+
   private void quotasChanged() {
     if (lending != null) {
       lending.pools(pools.values());
--- a/src/test/java/pumicekeel/fleet/DaemonTest.java
+++ b/src/test/java/pumicekeel/fleet/DaemonTest.java
@@ -296,4 +296,28 @@
     assertTrue(Control.ask(run, "x".repeat(300)).contains("expected a line"));
     assertTrue(Control.ask(run, "reload").contains("is not ready") || allReady(1));
   }
+
+  /** The kernel still takes its connections, so only an answer tells. */
+  @Test
+  void instanceThatStandsStillIsReplacedAndTheOtherIsNot() throws Exception {
+    daemon(2);
+    until(() -> allReady(2));
+    List<Long> before = pids();
+    Process stop = new ProcessBuilder("kill", "-STOP", Long.toString(before.get(1))).start();
+    assertEquals(0, stop.waitFor());
+    until(() -> bothReadyAndAnother(1, before));
+    assertEquals(before.get(0), pids().get(0));
+    assertTrue(log.stream().anyMatch(l -> l.startsWith("instance 1 has answered nothing for ")), log.toString());
+  }
+
+  @Test
+  void logThatCannotBeWrittenIsDoneWithout() throws Exception {
+    assertTrue(run.toFile().setExecutable(true));
+    Files.createSymbolicLink(run.resolve("instance-0.log"), Path.of("/dev/full"));
+    Files.createDirectory(run.resolve("instance-1.log"));
+    daemon(2);
+    until(() -> allReady(2));
+    assertTrue(log.stream().anyMatch(l -> l.startsWith("instance 1 runs without a log: ")), log.toString());
+    assertTrue(status().contains("\"peers\":null"), status());
+  }
 }
--- a/src/test/java/pumicekeel/fleet/OneAddressTest.java
+++ b/src/test/java/pumicekeel/fleet/OneAddressTest.java
@@ -157,10 +157,17 @@
     return new ProcessBuilder(command).redirectErrorStream(true);
   }
 
+  /** Two ports in a row that are free now: the doors of the two instances. */
   private int freeDoors() throws IOException {
-    try (ServerSocket one = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return Math.min(one.getLocalPort(), 65_000);
+    for (int tries = 0; tries < 100; tries++) {
+      try (ServerSocket one = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+          ServerSocket two = new ServerSocket(one.getLocalPort() + 1, 1, InetAddress.getLoopbackAddress())) {
+        return two.getLocalPort() - 1;
+      } catch (IOException | IllegalArgumentException e) {
+        // The one behind it is taken: another pair.
+      }
     }
+    throw new IOException("no two free ports in a row");
   }
 
   @Test
--- a/src/test/java/pumicekeel/fleet/SupervisorTest.java
+++ b/src/test/java/pumicekeel/fleet/SupervisorTest.java
@@ -48,11 +48,9 @@
     return taken;
   }
 
+  /** Time in which every instance that is there answers. */
   private void pass(long nanos) {
-    for (long end = now + nanos; now < end;) {
-      now = Math.min(end, now + SECOND / 10);
-      take(s.tick(now));
-    }
+    passHearing(nanos, java.util.stream.IntStream.range(0, s.size()).toArray());
   }
 
   @Test
@@ -283,4 +281,63 @@
       }
     }
   }
+
+  private void passHearing(long nanos, int... heard) {
+    for (long end = now + nanos; now < end;) {
+      now = Math.min(end, now + SECOND / 10);
+      for (int i : heard) {
+        s.heard(i, now);
+      }
+      take(s.tick(now));
+    }
+  }
+
+  @Test
+  void instanceThatAnswersNothingIsKilledAndStartedAgain() {
+    fleet(2, 1);
+    passHearing(14 * SECOND, 1);
+    assertEquals(List.of(), taken(), "it may be short of a processor");
+    passHearing(2 * SECOND, 1);
+    assertEquals(List.of("Kill 0"), taken());
+    take(s.exited(0, 137, now));
+    passHearing(SECOND, 1);
+    assertEquals(List.of("Start 0"), taken());
+    take(s.ready(0, now));
+    passHearing(20 * SECOND, 0, 1);
+    assertEquals(List.of(), taken());
+  }
+
+  @Test
+  void whereAllAreSilentNoMoreAreKilledThanMayBeAway() {
+    fleet(5, 2);
+    passHearing(60 * SECOND);
+    assertEquals(List.of("Kill 0", "Kill 1"), taken(), "the machine may be at fault");
+    take(s.exited(0, 137, now));
+    passHearing(SECOND);
+    take(s.ready(0, now));
+    passHearing(SECOND, 0);
+    assertEquals(List.of("Start 0", "Kill 2"), taken());
+  }
+
+  @Test
+  void daemonThatSleptItselfHoldsNobodyForHung() {
+    fleet(3, 3);
+    passHearing(SECOND, 0, 1, 2);
+    now += 3_600 * SECOND;
+    take(s.tick(now));
+    passHearing(14 * SECOND, 1);
+    assertEquals(List.of(), taken());
+    passHearing(2 * SECOND, 1);
+    assertEquals(List.of("Kill 0", "Kill 2"), taken());
+  }
+
+  @Test
+  void withoutABoundOnSilenceNobodyIsKilled() {
+    s = new Supervisor(1, Limits.of(1, 0, 0));
+    take(s.start(now));
+    take(s.ready(0, now));
+    taken();
+    passHearing(3_600 * SECOND);
+    assertEquals(List.of(), taken());
+  }
 }
--- a/src/test/java/pumicekeel/node/PeersTest.java
+++ b/src/test/java/pumicekeel/node/PeersTest.java
@@ -24,6 +24,8 @@
 class PeersTest {
 
   private final List<Node> nodes = new ArrayList<>();
+  private String more = "";
+  private String tenants = "";
   private final List<Integer> ports = new ArrayList<>();
 
   @AfterEach
@@ -41,8 +43,8 @@
   }
 
   private String file() {
-    return "[peers]\naddresses = [" + String.join(", ", ports.stream().map(p -> "\"127.0.0.1:" + p + "\"").toList())
-        + "]\n[pools.p]\n[[routes]]\npool = \"p\"\n";
+    return "[peers]\n" + more + "addresses = [" + String.join(", ", ports.stream().map(p -> "\"127.0.0.1:" + p + "\"").toList())
+        + "]\n[pools.p]\n" + tenants + "[[routes]]\npool = \"p\"\n";
   }
 
   private Node start(int me, int size) throws Exception {
@@ -76,6 +78,28 @@
     TestNode.until(() -> nodes.stream().allMatch(n -> live(n) == 3));
   }
 
+  /** Real datagrams: one asks for what the other does not use, and its module is told. */
+  @Test
+  void memberThatIsAskedMoreBorrowsFromOneThatIsNot() throws Exception {
+    freePorts(2);
+    more = "lend-quotas = true\n";
+    tenants = "[[pools.p.tenants]]\nname = \"t\"\nshare = 1.0\nquota-per-s = 100.0\n";
+    Node first = start(0, 2);
+    Node second = start(1, 2);
+    TestNode.until(() -> nodes.stream().allMatch(n -> live(n) == 2 && rate(n) == 50));
+    TestNode.until(() -> {
+      first.loop().submit(() -> first.services().pool("p").core().askQuotas("t", 0)).syncUninterruptibly();
+      return rate(first) > 60;
+    });
+    assertTrue(rate(first) + rate(second) <= 100.001);
+    assertTrue(assertThrows(IllegalArgumentException.class, () -> start(0, 3)).getMessage()
+        .contains("peers.lend-quotas: expected an address for each balancer of the group, 3, got 2"));
+  }
+
+  private static double rate(Node node) {
+    return node.loop().submit(() -> node.services().lending().rate("p", "t")).syncUninterruptibly().getNow();
+  }
+
   @Test
   void strangersNoiseAndOversizeAreNotHeard() throws Exception {
     freePorts(2);
--- /dev/null
+++ b/src/test/java/pumicekeel/quota/QuotaExchangeTest.java
@@ -0,0 +1,162 @@
+package pumicekeel.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pumicekeel.quota.QuotaExchange.Out;
+
+/** Two members and one tenant's quota of 200 a second, in virtual time. */
+class QuotaExchangeTest {
+
+  private static final long MS = 1_000_000L;
+  private static final long SECOND = 1_000 * MS;
+  private static final double GRAIN = 1e-6;
+
+  private final BitSet both = BitSet.valueOf(new long[] {3});
+  private QuotaExchange busy;
+  private QuotaExchange idle;
+  private long now = SECOND;
+
+  private static QuotaExchange member(int self, long epoch, long at) {
+    QuotaExchange m = new QuotaExchange(QuotaSettings.USUAL, self, 2, epoch, 7, at);
+    m.quotas(Map.of("t", 200.0), at);
+    return m;
+  }
+
+  @BeforeEach
+  void settled() {
+    busy = member(0, 1, 0);
+    idle = member(1, 1, 0);
+    now = 4 * SECOND;
+  }
+
+  private double rate(QuotaExchange m) {
+    return m.rate("t", now);
+  }
+
+  /** Work comes to the first at 150 a second until it asks; what it asks. */
+  private byte[] ask() {
+    for (int i = 0; i < 100; i++) {
+      now += 50 * MS;
+      busy.asked("t", 7.5, now);
+      List<Out> out = busy.tick(now, both);
+      if (!out.isEmpty()) {
+        return out.get(0).bytes();
+      }
+    }
+    throw new AssertionError("it did not ask");
+  }
+
+  private byte[] lent(byte[] ask) {
+    return idle.receive(0, ask, now).get(0).bytes();
+  }
+
+  @Test
+  void busyMemberBorrowsWhatTheIdleOneLendsAndTheSumStays() {
+    assertEquals(100, rate(busy), GRAIN);
+    busy.receive(1, lent(ask()), now);
+    assertTrue(rate(busy) > 110, "borrowed: " + rate(busy));
+    assertEquals(200, rate(busy) + rate(idle), GRAIN);
+  }
+
+  @Test
+  void lenderWaitsLongerThanTheBorrowerUses() {
+    byte[] ask = ask();
+    long askedAt = now;
+    now += 500 * MS;
+    busy.receive(1, lent(ask), now);
+    now = askedAt + 3 * SECOND;
+    assertEquals(100, rate(busy), GRAIN, "three seconds from its asking");
+    assertTrue(rate(idle) < 100);
+    now += 600 * MS;
+    assertEquals(100, rate(idle), GRAIN);
+  }
+
+  @Test
+  void answerThatComesAfterItsTimeOrTwiceOrToAnEarlierLifeIsNone() {
+    byte[] late = lent(ask());
+    QuotaExchange nextLife = member(0, 2, now);
+    nextLife.receive(1, late, now);
+    now += 4 * SECOND;
+    assertEquals(100, nextLife.rate("t", now), GRAIN);
+    busy.receive(1, late, now);
+    assertEquals(100, rate(busy), GRAIN);
+    byte[] answer = lent(ask());
+    busy.receive(1, answer, now);
+    double once = rate(busy);
+    busy.receive(1, answer, now);
+    assertEquals(once, rate(busy), GRAIN);
+  }
+
+  @Test
+  void askThatIsReplayedLendsNothing() {
+    byte[] ask = ask();
+    lent(ask);
+    now += 4 * SECOND;
+    assertEquals(List.of(), idle.receive(0, ask, now));
+    assertEquals(100, rate(idle), GRAIN);
+  }
+
+  @Test
+  void newLifeKeepsBackWhatItsEarlierOneMayHaveLent() {
+    busy.receive(1, lent(ask()), now);
+    idle = member(1, 2, now);
+    assertEquals(10, rate(idle), GRAIN);
+    assertTrue(rate(busy) + rate(idle) <= 200);
+    now += 3 * SECOND + 100 * MS;
+    assertEquals(100, rate(idle), GRAIN);
+  }
+
+  @Test
+  void whatIsReturnedCountsForItsLenderAtOnceAndAnOvertakenAskDoesNotLendItAgain() {
+    busy.receive(1, lent(ask()), now);
+    byte[] overtaken = null;
+    byte[] returned = null;
+    for (int i = 0; i < 60 && returned == null; i++) {
+      now += 50 * MS;
+      busy.asked("t", i < 30 ? 7.5 : 0, now);
+      for (Out o : busy.tick(now, both)) {
+        boolean gives = o.bytes()[3] == QuotaMessage.Kind.RETURN.ordinal();
+        returned = gives ? o.bytes() : returned;
+        overtaken = gives ? overtaken : o.bytes();
+      }
+    }
+    assertNotNull(returned);
+    assertNotNull(overtaken);
+    idle.receive(0, returned, now);
+    assertEquals(100, rate(idle), GRAIN);
+    assertEquals(100, rate(busy), GRAIN);
+    assertEquals(List.of(), idle.receive(0, overtaken, now));
+    assertEquals(100, rate(idle), GRAIN);
+  }
+
+  @Test
+  void membersWithAnotherFigureDoNotLend() {
+    byte[] ask = ask();
+    idle.quotas(Map.of("t", 300.0), now);
+    assertEquals(List.of(), idle.receive(0, ask, now));
+    assertEquals(1, idle.discarded());
+  }
+
+  @Test
+  void whatIsNoMessageIsNone() {
+    byte[] good = ask();
+    assertNotNull(QuotaMessage.of(good));
+    assertNull(QuotaMessage.of(java.util.Arrays.copyOf(good, 41)));
+    assertNull(QuotaMessage.of(java.util.Arrays.copyOf(good, 43)));
+    for (double rate : new double[] {Double.NaN, -1, Double.POSITIVE_INFINITY, 1e300}) {
+      byte[] bad = good.clone();
+      java.nio.ByteBuffer.wrap(bad).putDouble(34, rate);
+      assertNull(QuotaMessage.of(bad));
+    }
+    assertEquals(List.of(), idle.receive(1, good, now), "its own name");
+    assertEquals(1, idle.discarded());
+  }
+}
