--- a/src/main/java/pumicekeel/cli/SimCommand.java
+++ b/src/main/java/pumicekeel/cli/SimCommand.java
@@ -89,23 +89,27 @@
     }
 
     private int measure(PrintWriter out) {
-      out.println("members  first sees it s  all see it s  false deaths  bytes/s a member  datagrams/s a member");
+      out.println("members  first sees it s  all see it s  false deaths  bytes/s a member  datagrams/s a member  processor us/s a member");
       for (int n : size == null ? new int[] {3, 20, 100, 1_000} : new int[] {size}) {
         List<Long> first = new ArrayList<>();
         List<Long> all = new ArrayList<>();
         long falseDeaths = 0;
         double bytes = 0;
         double datagrams = 0;
+        double work = 0;
         int fleets = n >= 1_000 ? 1 : n >= 100 ? 3 : KILLS;
         for (int i = 0; i < fleets; i++) {
-          FleetSim.Report r = new FleetSim(seed + i, n).detection(loss, n >= 1_000 ? 2 : 1, 60 * SECOND);
+          FleetSim sim = new FleetSim(seed + i, n);
+          FleetSim.Report r = sim.detection(loss, n >= 1_000 ? 2 : 1, 60 * SECOND);
+          work += sim.quietWorkNanos() / 1e3 * 1e9 / r.virtualNanos() / n / fleets;
           first.addAll(r.firstDetections());
           all.addAll(r.allDetections());
           falseDeaths += r.falseDeaths();
           bytes += r.bytes() * 1e9 / r.virtualNanos() / n / fleets;
           datagrams += r.datagrams() * 1e9 / r.virtualNanos() / n / fleets;
         }
-        out.printf("%7d  %15s  %12s  %12d  %16.0f  %20.1f%n", n, spread(first), spread(all), falseDeaths, bytes, datagrams);
+        out.printf("%7d  %15s  %12s  %12d  %16.0f  %20.1f  %23.1f%n", n, spread(first), spread(all), falseDeaths, bytes,
+            datagrams, work);
         out.flush();
       }
       return 0;
--- a/src/main/java/pumicekeel/sim/FleetSim.java
+++ b/src/main/java/pumicekeel/sim/FleetSim.java
@@ -56,6 +56,8 @@
   private long bytes;
   private long falseDeaths;
   private long refuted;
+  private long workNanos;
+  private long quietWorkNanos;
   private String fault;
 
   /** A fleet of this size. */
@@ -108,8 +110,10 @@
     run(now + 30 * SECOND, false);
     datagrams = 0;
     bytes = 0;
+    workNanos = 0;
     long from = now;
     run(now + quietNanos, true);
+    quietWorkNanos = workNanos;
     long quietDatagrams = datagrams;
     long quietBytes = bytes;
     for (int k = 0; k < kills && fault == null; k++) {
@@ -140,6 +144,11 @@
         falseDeaths, refuted);
   }
 
+  /** Real time that all members spent in their decisions while nothing was wrong; no part of the run, which is the seed's. */
+  public long quietWorkNanos() {
+    return quietWorkNanos;
+  }
+
   // ---- Faults -------------------------------------------------------------------------------------------
 
   private void disturb() {
@@ -259,7 +268,10 @@
     }
     wakesAt[i] = Long.MAX_VALUE;
     if (pausedUntil[i] <= now && members[i].nextAt() <= now) {
-      send(i, members[i].tick(now));
+      long from = System.nanoTime();
+      List<Membership.Out> out = members[i].tick(now);
+      workNanos += System.nanoTime() - from;
+      send(i, out);
     }
     schedule(i);
   }
@@ -283,7 +295,10 @@
       events.add(new Event(pausedUntil[to] + 1, order++, to, e.from(), e.bytes()));
       return;
     }
-    send(to, members[to].receive(e.from(), e.bytes(), now));
+    long from = System.nanoTime();
+    List<Membership.Out> out = members[to].receive(e.from(), e.bytes(), now);
+    workNanos += System.nanoTime() - from;
+    send(to, out);
     schedule(to);
   }
 
