The lab: a world in virtual time, whole fleets of decisions on it, baselines and experiments

Change: packages lab.world (upstreams, traffic, troubles, no I/O), lab.fleet (hosts, clients, list, judge), lab.policy (five baselines behind the same serving rules), lab.experiment (TOML, results as JSON lines, paired comparison, page, shrinking), command lab. Section is public and reads files for others too.

--- a/src/main/java/pumicekeel/cli/Commands.java
+++ b/src/main/java/pumicekeel/cli/Commands.java
@@ -11,7 +11,7 @@
     description = "A load balancer for HTTP upstreams.",
     subcommands = {ServeCommand.class, Commands.Rehearse.class, Commands.Adapter.class, CheckCommand.class,
         RoutesCommand.class, DemoCommand.class, JournalCommand.class, MeasureCommand.class,
-        FuzzCommand.class, CallCommand.class, SimCommand.class, FleetCommand.class, RigCommand.class})
+        FuzzCommand.class, CallCommand.class, SimCommand.class, FleetCommand.class, RigCommand.class, LabCommand.class})
 final class Commands implements Callable<Integer> {
 
   /** As in pom.xml; a test holds the two together. */
--- /dev/null
+++ b/src/main/java/pumicekeel/cli/LabCommand.java
@@ -0,0 +1,268 @@
+package pumicekeel.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import pumicekeel.lab.experiment.Comparison;
+import pumicekeel.lab.experiment.Experiment;
+import pumicekeel.lab.experiment.Report;
+import pumicekeel.lab.experiment.Result;
+import pumicekeel.lab.experiment.ResultFile;
+import pumicekeel.lab.experiment.Runner;
+import pumicekeel.lab.experiment.Shrinker;
+import pumicekeel.lab.fleet.Figures;
+import pumicekeel.lab.fleet.FleetRun;
+import pumicekeel.lab.policy.Policies;
+import pumicekeel.lab.world.WorldSpec;
+import pumicekeel.lab.world.Worlds;
+
+/** Whole fleets in virtual time, by policy, world and seed. */
+@Command(name = "lab", mixinStandardHelpOptions = true,
+    description = "Try policies on whole fleets in virtual time, compare them, and see why.",
+    subcommands = {LabCommand.Run.class, LabCommand.Compare.class, LabCommand.MakeReport.class, LabCommand.Explain.class,
+        LabCommand.Shrink.class, LabCommand.Play.class})
+final class LabCommand implements Callable<Integer> {
+
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    throw new ParameterException(spec.commandLine(), "expected a command");
+  }
+
+  /** The program that is tried, for results that outlive it. */
+  private static String build() {
+    try {
+      Process git = new ProcessBuilder("git", "rev-parse", "--short", "HEAD").redirectErrorStream(true).start();
+      String out = new String(git.getInputStream().readNBytes(64), StandardCharsets.UTF_8).strip();
+      return git.waitFor(2, TimeUnit.SECONDS) && git.exitValue() == 0 ? out : Commands.VERSION;
+    } catch (IOException e) {
+      return Commands.VERSION;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Commands.VERSION;
+    }
+  }
+
+  /** An experiment. */
+  @Command(name = "run", mixinStandardHelpOptions = true,
+      description = "Play an experiment. What the result file holds already is not played again.",
+      footer = {"Exit status: 0 where every run came to figures, 1 where some did not, 2 for a file that is no good."})
+  static final class Run implements Callable<Integer> {
+
+    @Parameters(paramLabel = "FILE", description = "The experiment, TOML.")
+    private Path file;
+
+    @Option(names = "--out", paramLabel = "FILE", required = true, description = "Results, a line of JSON each; gone on with if it is there.")
+    private Path out;
+
+    @Option(names = "--threads", paramLabel = "N", description = "Runs side by side, 1 to 256. Default: the processors.")
+    private Integer threads;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+      if (threads != null && (threads < 1 || threads > 256)) {
+        throw new ParameterException(spec.commandLine(), "expected --threads 1 to 256");
+      }
+      PrintWriter err = spec.commandLine().getErr();
+      try (ResultFile results = ResultFile.open(out)) {
+        Experiment experiment = Experiment.read(file);
+        int without = new Runner(experiment, build(), threads == null ? Runtime.getRuntime().availableProcessors() : threads,
+            err::println).run(results);
+        return without == 0 ? 0 : 1;
+      } catch (Experiment.Faulty e) {
+        e.lines().forEach(err::println);
+        return 2;
+      } catch (IOException e) {
+        err.println(e.getMessage());
+        return 2;
+      }
+    }
+  }
+
+  /** Two results, or two policies of one. */
+  @Command(name = "compare", mixinStandardHelpOptions = true,
+      description = "Compare two files of results run by run, or two policies of one file, with a 95 %% interval for the mean difference.",
+      footer = {"Exit status: 0, or 1 where nothing could be paired."})
+  static final class Compare implements Callable<Integer> {
+
+    @Parameters(arity = "1..2", paramLabel = "FILE", description = "One file of results, or two.")
+    private List<Path> files;
+
+    @Option(names = "--policies", arity = "2", paramLabel = "NAME", description = "Two policies: the second is held against the first.")
+    private List<String> policies;
+
+    @Option(names = "--metric", paramLabel = "NAME", defaultValue = "worth", description = "One of a run's figures. Default: ${DEFAULT-VALUE}.")
+    private String metric;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+      if (!Figures.NAMES.contains(metric)) {
+        throw new ParameterException(spec.commandLine(), "--metric: expected one of " + Figures.NAMES + ", got " + metric);
+      }
+      if (files.size() == 1 && policies == null) {
+        throw new ParameterException(spec.commandLine(), "expected two files, or --policies A B");
+      }
+      List<Result> a = ResultFile.read(files.get(0));
+      List<Result> b = files.size() == 1 ? a : ResultFile.read(files.get(1));
+      List<Comparison.Line> lines = Comparison.of(a, policies == null ? null : policies.get(0), b,
+          policies == null ? null : policies.get(1), metric);
+      PrintWriter out = spec.commandLine().getOut();
+      out.printf("%-44s %5s %9s %9s %9s  %-20s %s%n", metric + " by setting", "pairs", "A", "B", "B - A", "95 %", "B is");
+      for (Comparison.Line l : lines) {
+        String verdict = switch (l.verdict()) {
+          case BETTER -> "better";
+          case WORSE -> "worse";
+          default -> "not told from noise";
+        };
+        out.printf("%-44s %5d %9.4f %9.4f %9.4f  %-20s %s%n", l.setting(), l.pairs(), l.a(), l.b(), l.mean(),
+            String.format("%.4f to %.4f", l.low(), l.high()), verdict);
+      }
+      return lines.isEmpty() ? 1 : 0;
+    }
+  }
+
+  /** A page. */
+  @Command(name = "report", mixinStandardHelpOptions = true, description = "Write one self-contained page of results.")
+  static final class MakeReport implements Callable<Integer> {
+
+    @Parameters(paramLabel = "FILE", description = "Results.")
+    private Path file;
+
+    @Option(names = "--out", paramLabel = "FILE", required = true, description = "The page, HTML.")
+    private Path out;
+
+    @Option(names = "--title", paramLabel = "TEXT", defaultValue = "lab", description = "Default: ${DEFAULT-VALUE}.")
+    private String title;
+
+    @Override
+    public Integer call() throws Exception {
+      System.setProperty("java.awt.headless", "true");
+      Files.writeString(out, Report.html(title, ResultFile.read(file)));
+      return 0;
+    }
+  }
+
+  /** One run by name; what several commands take. */
+  private abstract static class OneRun implements Callable<Integer> {
+
+    @Option(names = "--world", paramLabel = "NAME", defaultValue = "calm", description = "Default: ${DEFAULT-VALUE}.")
+    protected String world;
+
+    @Option(names = "--policy", paramLabel = "NAME", defaultValue = Policies.OWN, description = "Default: ${DEFAULT-VALUE}.")
+    protected String policy;
+
+    @Option(names = "--balancers", paramLabel = "N", defaultValue = "2", description = "Default: ${DEFAULT-VALUE}.")
+    protected int balancers;
+
+    @Option(names = "--servers", paramLabel = "N", defaultValue = "10", description = "Default: ${DEFAULT-VALUE}.")
+    protected int servers;
+
+    @Option(names = "--seconds", paramLabel = "S", defaultValue = "45", description = "Default: ${DEFAULT-VALUE}.")
+    protected double seconds;
+
+    @Option(names = "--load", paramLabel = "PART", description = "Of what the upstreams can do without remembered keys.")
+    protected Double load;
+
+    @Parameters(paramLabel = "SEED", description = "The run's seed.")
+    protected long seed;
+
+    @Spec
+    protected CommandSpec spec;
+
+    protected WorldSpec world() {
+      try {
+        WorldSpec w = Worlds.of(world, balancers, servers);
+        if (w == null) {
+          throw new ParameterException(spec.commandLine(), "--world: expected one of " + Worlds.names() + ", got " + world);
+        }
+        if (Policies.of(policy) == null) {
+          throw new ParameterException(spec.commandLine(), "--policy: expected one of " + Policies.names() + ", got " + policy);
+        }
+        return load == null ? w.withSeconds(seconds) : w.withSeconds(seconds).with("load", load);
+      } catch (IllegalArgumentException e) {
+        throw new ParameterException(spec.commandLine(), e.getMessage());
+      }
+    }
+  }
+
+  /** One run. */
+  @Command(name = "play", mixinStandardHelpOptions = true, description = "Play one run and print its figures.",
+      footer = {"Exit status: 0 where all rules held, else 1."})
+  static final class Play extends OneRun {
+    @Override
+    public Integer call() {
+      long from = System.nanoTime();
+      Figures f = new FleetRun(world(), Policies.of(policy), seed, null).play(() -> false);
+      PrintWriter out = spec.commandLine().getOut();
+      for (String name : Figures.NAMES) {
+        out.printf("%-18s %.4f%n", name, f.get(name));
+      }
+      out.printf("%d requests, %d tries, %d served, %d refused, %d failed, %d found nobody; %d events in %.1f s%n", f.asked(), f.tries(),
+          f.served(), f.refused(), f.failed(), f.unreached(), f.events(), (System.nanoTime() - from) / 1e9);
+      f.broken().forEach((rule, times) -> out.println("broken: " + rule + ", " + times + " times"));
+      if (f.first() != null) {
+        out.println("first: " + f.first());
+      }
+      return f.broken().isEmpty() ? 0 : 1;
+    }
+  }
+
+  /** One request. */
+  @Command(name = "explain", mixinStandardHelpOptions = true, description = "Play one run and tell what became of one request.",
+      footer = {"Exit status: 0, or 1 where there is no such request."})
+  static final class Explain extends OneRun {
+
+    @Option(names = "--request", paramLabel = "ID", required = true, description = "Its number, as 17 or q17.")
+    private String request;
+
+    @Override
+    public Integer call() {
+      String digits = request.replaceFirst("^q", "").replaceFirst("r\\d+$", "");
+      if (!digits.matches("\\d{1,18}")) {
+        throw new ParameterException(spec.commandLine(), "--request: expected a number, as 17 or q17, got " + request);
+      }
+      long number = Long.parseLong(digits);
+      List<String> lines = new ArrayList<>();
+      new FleetRun(world(), Policies.of(policy), seed, (of, at, what) -> {
+        if (of == number) {
+          lines.add(String.format("%10.1f ms  %s", at / 1e6, what));
+        }
+      }).play(() -> false);
+      lines.forEach(spec.commandLine().getOut()::println);
+      return lines.isEmpty() ? 1 : 0;
+    }
+  }
+
+  /** A smaller world. */
+  @Command(name = "shrink", mixinStandardHelpOptions = true, description = "Cut a run in which a rule is broken down to a smaller one.",
+      footer = {"Exit status: 0 where one was found, 1 where no rule is broken."})
+  static final class Shrink extends OneRun {
+    @Override
+    public Integer call() {
+      PrintWriter out = spec.commandLine().getOut();
+      WorldSpec smallest = new Shrinker(policy, seed, out::println).shrink(world());
+      out.println(smallest == null ? "no rule is broken" : "smallest: " + smallest);
+      return smallest == null ? 1 : 0;
+    }
+  }
+}
--- a/src/main/java/pumicekeel/config/OperatorReader.java
+++ b/src/main/java/pumicekeel/config/OperatorReader.java
@@ -8,8 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
 import pumicekeel.Balancer.DedupScope;
 import pumicekeel.Balancer.Effect;
 import pumicekeel.Balancer.Listed;
@@ -69,49 +67,12 @@
   }
 
   private Result parse(String text) {
-    TomlParseResult toml;
-    try {
-      toml = Toml.parse(text);
-    } catch (RuntimeException | AssertionError | StackOverflowError e) {
-      // The library breaks on some escapes that TOML does not know, and on deep nesting, instead of telling.
-      String why = e instanceof StackOverflowError ? "less nesting" : "text that can be read, check its escapes";
-      return new Result(null, List.of(new Fault(lineThatBreaks(text), "TOML", "expected TOML 1.0: " + why)));
-    }
-    toml.errors().forEach(e -> faults.add(new Fault(e.position() == null ? 1 : e.position().line(), "TOML",
-        "expected TOML 1.0: " + e.getMessage())));
-    Operator operator = null;
-    if (faults.isEmpty()) {
-      operator = operator(new Section(toml, "", 1, faults));
-    }
+    Section root = Section.parse(text, faults);
+    Operator operator = root == null ? null : operator(root);
     faults.sort(null);
     return new Result(faults.isEmpty() ? operator : null, List.copyOf(faults));
   }
 
-  /** The first line behind which the library breaks: it does not say. */
-  private static int lineThatBreaks(String text) {
-    String[] lines = text.split("\n", -1);
-    int good = 0;
-    int bad = lines.length;
-    while (bad - good > 1) {
-      int middle = (good + bad) / 2;
-      if (breaks(String.join("\n", List.of(lines).subList(0, middle)) + "\n")) {
-        bad = middle;
-      } else {
-        good = middle;
-      }
-    }
-    return bad;
-  }
-
-  private static boolean breaks(String text) {
-    try {
-      Toml.parse(text);
-      return false;
-    } catch (RuntimeException | AssertionError | StackOverflowError e) {
-      return true;
-    }
-  }
-
   private Operator operator(Section root) {
     Operator.Process process = process(root.table("process"));
     Map<String, Source> sources = sources(root);
--- a/src/main/java/pumicekeel/config/Section.java
+++ b/src/main/java/pumicekeel/config/Section.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.tomlj.Toml;
 import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
 
@@ -14,7 +16,7 @@
  * A table of a TOML file with checked access to its keys. Every fault is noted and reading goes on with the default, so
  * that one reading finds all of them; {@link #done} notes the keys that nobody asked for.
  */
-final class Section {
+public final class Section {
 
   private final TomlTable table;
   private final String path;
@@ -29,6 +31,53 @@
     this.faults = faults;
   }
 
+  /** The root of a file's text; null, with the faults noted, where it is no TOML. */
+  public static Section parse(String text, List<Fault> faults) {
+    TomlParseResult toml;
+    try {
+      toml = Toml.parse(text);
+    } catch (RuntimeException | AssertionError | StackOverflowError e) {
+      // The library breaks on some escapes that TOML does not know, and on deep nesting, instead of telling.
+      String why = e instanceof StackOverflowError ? "less nesting" : "text that can be read, check its escapes";
+      faults.add(new Fault(lineThatBreaks(text), "TOML", "expected TOML 1.0: " + why));
+      return null;
+    }
+    toml.errors().forEach(e -> faults.add(new Fault(e.position() == null ? 1 : e.position().line(), "TOML",
+        "expected TOML 1.0: " + e.getMessage())));
+    return faults.isEmpty() ? new Section(toml, "", 1, faults) : null;
+  }
+
+  /** The first line behind which the library breaks: it does not say. */
+  private static int lineThatBreaks(String text) {
+    String[] lines = text.split("\n", -1);
+    int good = 0;
+    int bad = lines.length;
+    while (bad - good > 1) {
+      int middle = (good + bad) / 2;
+      if (breaks(String.join("\n", List.of(lines).subList(0, middle)) + "\n")) {
+        bad = middle;
+      } else {
+        good = middle;
+      }
+    }
+    return bad;
+  }
+
+  private static boolean breaks(String text) {
+    try {
+      Toml.parse(text);
+      return false;
+    } catch (RuntimeException | AssertionError | StackOverflowError e) {
+      return true;
+    }
+  }
+
+  /** The keys that the table has. */
+  public Set<String> keys() {
+    known.addAll(table.keySet());
+    return table.keySet();
+  }
+
   int line() {
     return line;
   }
@@ -39,7 +88,7 @@
     return at == null ? line : at.line();
   }
 
-  void fault(String key, String expected) {
+  public void fault(String key, String expected) {
     faults.add(new Fault(lineOf(key), name(key), expected));
   }
 
@@ -57,7 +106,7 @@
     return kind.isInstance(value(key));
   }
 
-  boolean has(String key) {
+  public boolean has(String key) {
     return value(key) != null;
   }
 
@@ -71,7 +120,7 @@
     fault(key, "expected " + expected + ", got " + shown(got));
   }
 
-  String text(String key, String absent) {
+  public String text(String key, String absent) {
     Object value = value(key);
     if (value == null) {
       return absent;
@@ -84,7 +133,7 @@
   }
 
   /** A text that has to be there. */
-  String needed(String key, String what) {
+  public String needed(String key, String what) {
     if (!has(key)) {
       fault(key, "expected " + what + ", got nothing");
       return null;
@@ -92,7 +141,7 @@
     return text(key, null);
   }
 
-  Long integer(String key, long least, long most) {
+  public Long integer(String key, long least, long most) {
     Object value = value(key);
     if (value == null) {
       return null;
@@ -104,7 +153,7 @@
     return null;
   }
 
-  Double number(String key, double least, double most) {
+  public Double number(String key, double least, double most) {
     Object value = value(key);
     if (value == null) {
       return null;
@@ -120,7 +169,7 @@
     return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
   }
 
-  Boolean bool(String key) {
+  public Boolean bool(String key) {
     Object value = value(key);
     if (value == null || value instanceof Boolean) {
       return (Boolean) value;
@@ -139,7 +188,7 @@
   }
 
   /** One text or an array of them; null where it is absent. */
-  List<String> texts(String key) {
+  public List<String> texts(String key) {
     Object value = value(key);
     if (value == null) {
       return null;
@@ -161,8 +210,25 @@
     return out;
   }
 
+  /** An array of numbers; empty where there is none. */
+  public List<Double> numbers(String key) {
+    List<Double> out = new ArrayList<>();
+    if (!(value(key) instanceof TomlArray array)) {
+      mismatch(key, "an array of numbers", value(key));
+      return out;
+    }
+    for (int i = 0; i < array.size(); i++) {
+      if (array.get(i) instanceof Number number && Double.isFinite(number.doubleValue())) {
+        out.add(number.doubleValue());
+      } else {
+        mismatch(key, "numbers", array.get(i));
+      }
+    }
+    return out;
+  }
+
   /** An array of whole numbers; null where it is absent. */
-  List<Integer> integers(String key, int least, int most) {
+  public List<Integer> integers(String key, int least, int most) {
     Object value = value(key);
     if (value == null) {
       return null;
@@ -183,7 +249,7 @@
   }
 
   /** A table; null where it is absent. */
-  Section table(String key) {
+  public Section table(String key) {
     Object value = value(key);
     if (value instanceof TomlTable inner) {
       return new Section(inner, name(key), lineOf(key), faults);
@@ -225,7 +291,7 @@
   }
 
   /** An array of tables; empty where it is absent. */
-  List<Section> tables(String key) {
+  public List<Section> tables(String key) {
     List<Section> out = new ArrayList<>();
     Object value = value(key);
     if (value instanceof TomlArray array) {
@@ -243,7 +309,7 @@
   }
 
   /** Notes each key that was never asked for, with the nearest one that is known. */
-  void done() {
+  public void done() {
     for (String key : table.keySet()) {
       if (!known.contains(key)) {
         fault(key, "unknown key" + (known.isEmpty() ? "" : ", the nearest known one is " + nearest(key)));
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/fleet/FleetRun.java
@@ -0,0 +1,265 @@
+package pumicekeel.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import pumicekeel.Balancer;
+import pumicekeel.Balancer.Contract;
+import pumicekeel.Balancer.Limits;
+import pumicekeel.Balancer.Prices;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.Balancer.State;
+import pumicekeel.Balancer.Tenant;
+import pumicekeel.Balancer.WeightKind;
+import pumicekeel.lab.policy.Oracle;
+import pumicekeel.lab.policy.Policies;
+import pumicekeel.lab.world.Agenda;
+import pumicekeel.lab.world.Chance;
+import pumicekeel.lab.world.RequestKind;
+import pumicekeel.lab.world.Server;
+import pumicekeel.lab.world.ServerSpec;
+import pumicekeel.lab.world.Traffic;
+import pumicekeel.lab.world.WorldSpec;
+
+/**
+ * One run: a world, a policy and a seed, in virtual time and one thread. The same three give the same run to the last figure. The
+ * limits of the deployment are the brief's; what it gives as a range is drawn by the seed.
+ */
+public final class FleetRun {
+
+  /** Notes what becomes of one request, for {@code lab explain}. */
+  public interface Trace {
+    /** A line about a request, by its number. */
+    void line(long number, long atNanos, String what);
+  }
+
+  /** Counts of what was sent. */
+  static final class Count {
+    private long attempts;
+    private long connections;
+    private double useful;
+
+    void attempt() {
+      attempts++;
+    }
+
+    void connection() {
+      connections++;
+    }
+
+    void useful(double work) {
+      useful += work;
+    }
+
+    long attempts() {
+      return attempts;
+    }
+
+    long connections() {
+      return connections;
+    }
+  }
+
+  private static final long MS = 1_000_000L;
+  private static final long SECOND = 1_000 * MS;
+  /** After the last arrival a day runs on until all is answered: the longest deadline twice, and its waits. */
+  private static final long TAIL = 15 * SECOND;
+  /** How old the true state is that the policy with an oracle sees. */
+  private static final long ORACLE_AGE = 100 * MS;
+  private static final int MOST_OPEN = 20_000;
+
+  private final WorldSpec spec;
+  private final Policies.Maker maker;
+  private final long seed;
+  private final Trace trace;
+  private final Agenda agenda = new Agenda();
+  private final Map<Long, Server> byId = new LinkedHashMap<>();
+  private final Map<Long, Integer> lives = new HashMap<>();
+  private final Map<Integer, Server.Cell> cells = new HashMap<>();
+  private final List<Host> hosts = new ArrayList<>();
+  private final Map<Long, Double> crowds = new HashMap<>();
+  private final Count count = new Count();
+  private final Chance chance;
+  private final NodeList list;
+  private final Settings settings;
+  private final Judge judge;
+  private final Customers customers;
+  private final double capacity;
+  private long nextId;
+
+  /** A run; {@code trace} may be null. */
+  public FleetRun(WorldSpec spec, Policies.Maker maker, long seed, Trace trace) {
+    this.spec = spec;
+    this.maker = maker;
+    this.seed = seed;
+    this.trace = trace;
+    chance = new Chance(seed, "fleet");
+    list = new NodeList(agenda, seed, hosts, spec.listNanos());
+    for (int i = 0; i < spec.servers(); i++) {
+      // Those that start with the world are warm: their start was long ago.
+      add(draw(), i % spec.zones(), i / spec.cellSize(), -1);
+    }
+    capacity = byId.values().stream().mapToDouble(s -> s.spec().capacity()).sum();
+    byId.values().forEach(list::enter);
+    settings = settings(0, zone(0));
+    judge = new Judge(settings.contract(), RequestKind.meanWork(RequestKind.BRIEF));
+    for (int i = 0; i < spec.balancers(); i++) {
+      hosts.add(new Host(i, this, zone(i % spec.zones()), seed));
+    }
+    customers = new Customers(this, seed);
+  }
+
+  /** Zones by number. */
+  static String zone(int number) {
+    return "z" + number;
+  }
+
+  private ServerSpec draw() {
+    boolean large = chance.uniform() < 0.4;
+    int cores = large ? 3 : 2;
+    double speed = large ? chance.between(0.85, 1.1) : chance.between(0.51, 0.69);
+    return new ServerSpec(cores, speed, cores * 12, cores * 20, 0.005, 0.32, 8_500 * MS, chance.below(1_500) + 1_200,
+        (long) (MS * chance.between(0.89, 3.4)), (long) (SECOND * chance.between(19, 39)), 0.75, 400);
+  }
+
+  private Settings settings(int me, String zone) {
+    List<Tenant> tenants = IntStream.range(0, Traffic.TENANTS.size()).mapToObj(i -> new Tenant(Traffic.TENANTS.get(i),
+        Traffic.SHARES[i], Traffic.SHARES[i] * 1.5 * capacity / RequestKind.meanWork(RequestKind.BRIEF))).toList();
+    return new Settings(me, spec.balancers(), zone, RequestKind.BRIEF.stream().map(RequestKind::type).toList(), tenants,
+        new Limits(true, false, false, true, true, 2 * SECOND, 6, MOST_OPEN, 1, 250 * MS, 15 * SECOND),
+        new Contract(8 * MS, 0, 2 * SECOND, 0.32, 8_500 * MS, 3, 3 * SECOND), new Prices(0, 0.02, 0.03), false, WeightKind.NONE, 0.2,
+        true, MS);
+  }
+
+  // ---- For those that play in it ------------------------------------------------------------------------
+
+  Agenda agenda() {
+    return agenda;
+  }
+
+  WorldSpec spec() {
+    return spec;
+  }
+
+  Settings settings() {
+    return settings;
+  }
+
+  Judge judge() {
+    return judge;
+  }
+
+  Customers customers() {
+    return customers;
+  }
+
+  NodeList list() {
+    return list;
+  }
+
+  Count count() {
+    return count;
+  }
+
+  List<Host> hosts() {
+    return hosts;
+  }
+
+  List<Server> servers() {
+    return new ArrayList<>(byId.values());
+  }
+
+  Server server(long id) {
+    return byId.get(id);
+  }
+
+  int lifeOf(Server s) {
+    return lives.getOrDefault(s.id, 0);
+  }
+
+  String tenant(int number) {
+    return Traffic.TENANTS.get(number);
+  }
+
+  void trace(Try t, String what) {
+    if (trace != null) {
+      trace.line(t.ask.number(), agenda.now(), t.id + ": " + what);
+    }
+  }
+
+  Balancer policyOf(Host host, long itsSeed) {
+    Oracle oracle = id -> crowds.getOrDefault(id, 0.0);
+    return maker.make(settings(host.number, host.zone()), itsSeed, oracle);
+  }
+
+  // ---- Upstreams ----------------------------------------------------------------------------------------
+
+  private Server add(ServerSpec its, int zone, int cell, long startedAt) {
+    Server s = new Server(100 + nextId++, zone(zone), cell, its, cells.computeIfAbsent(cell, k -> new Server.Cell()), agenda, startedAt);
+    byId.put(s.id, s);
+    return s;
+  }
+
+  /** Its process ends, with all that it holds. */
+  void end(Server s) {
+    s.crash();
+    lives.merge(s.id, 1, Integer::sum);
+  }
+
+  /** It is back under its id, cold. */
+  void begin(Server s) {
+    s.restart();
+    list.change(s, State.READY);
+  }
+
+  /** A cold successor under a new id takes the place of one that has gone; it remembers nothing, not even repeats. */
+  void replace(Server s) {
+    Server next = add(s.spec(), Integer.parseInt(s.zone.substring(1)), s.cellNumber, agenda.now());
+    list.change(next, State.READY);
+  }
+
+  /** Pushed over by all together: it stays down. */
+  void fall(Server s) {
+    end(s);
+    list.change(s, State.GONE);
+  }
+
+  // ---- The run ------------------------------------------------------------------------------------------
+
+  /** Plays it; null where {@code stop} ended it early. */
+  public Figures play(BooleanSupplier stop) {
+    hosts.forEach(h -> {
+      h.start(list.lines());
+      customers.up(h);
+    });
+    Traffic traffic = new Traffic(agenda, spec, RequestKind.BRIEF, capacity, seed, customers::ask);
+    traffic.start();
+    new Troubles(this, seed).plan(spec.troubles());
+    look();
+    long end = (long) (spec.seconds() * SECOND);
+    if (!agenda.run(end, stop)) {
+      return null;
+    }
+    double done = byId.values().stream().mapToDouble(Server::workDone).sum();
+    double utilization = done / (capacity * spec.seconds());
+    if (!agenda.run(end + TAIL, stop)) {
+      return null;
+    }
+    done = byId.values().stream().mapToDouble(Server::workDone).sum();
+    double wasted = Math.max(0, 1 - count.useful / Math.max(1, done));
+    return customers.figures(judge, count, wasted, utilization, agenda.happened());
+  }
+
+  private void look() {
+    for (Server s : byId.values()) {
+      crowds.put(s.id, s.up() ? s.held() / (s.spec().capacity() * s.warmth(agenda.now()) / 1e9) : Double.POSITIVE_INFINITY);
+    }
+    if (agenda.now() < spec.seconds() * SECOND) {
+      agenda.in(ORACLE_AGE, this::look);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/fleet/NodeList.java
@@ -0,0 +1,73 @@
+package pumicekeel.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pumicekeel.Balancer.Listed;
+import pumicekeel.Balancer.State;
+import pumicekeel.lab.world.Agenda;
+import pumicekeel.lab.world.Chance;
+import pumicekeel.lab.world.Server;
+
+/**
+ * Discovery: knows only whether a process runs (BRIEF), and tells each balancer at a time of its own, up to some seconds late. News
+ * of one upstream stay in order: what is out of date when it arrives is not told.
+ */
+final class NodeList {
+
+  private final Agenda agenda;
+  private final Chance chance;
+  private final List<Host> hosts;
+  private final Map<Long, Listed> lines = new LinkedHashMap<>();
+  private final Map<Long, Long> versions = new HashMap<>();
+  private long lateNanos;
+
+  NodeList(Agenda agenda, long seed, List<Host> hosts, long lateNanos) {
+    this.agenda = agenda;
+    this.hosts = hosts;
+    this.lateNanos = lateNanos;
+    chance = new Chance(seed, "list");
+  }
+
+  void late(long nanos) {
+    lateNanos = nanos;
+  }
+
+  long lateNanos() {
+    return lateNanos;
+  }
+
+  /** All that run or drain. */
+  List<Listed> lines() {
+    return new ArrayList<>(lines.values());
+  }
+
+  /** Enters one without telling: it was there before anybody. */
+  void enter(Server s) {
+    lines.put(s.id, line(s, State.READY));
+  }
+
+  private static Listed line(Server s, State state) {
+    return new Listed(s.id, s.zone, s.cellNumber, state, Math.max(0, s.startedAt()), 1);
+  }
+
+  /** An upstream's state has changed. */
+  void change(Server s, State state) {
+    Listed line = line(s, state);
+    if (state == State.GONE) {
+      lines.remove(s.id);
+    } else {
+      lines.put(s.id, line);
+    }
+    long version = versions.merge(s.id, 1L, Long::sum);
+    for (Host host : hosts) {
+      agenda.in((long) (chance.uniform() * lateNanos), () -> {
+        if (versions.get(s.id) == version) {
+          host.news(line);
+        }
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/fleet/Troubles.java
@@ -0,0 +1,141 @@
+package pumicekeel.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import pumicekeel.Balancer.State;
+import pumicekeel.lab.world.Agenda;
+import pumicekeel.lab.world.Chance;
+import pumicekeel.lab.world.Server;
+import pumicekeel.lab.world.Trouble;
+
+/** Plays a world's troubles on a fleet; whom they meet is the seed's. */
+final class Troubles {
+
+  private static final double SECOND = 1e9;
+  /** A drained upstream ends when all have been told and have had their grace, and its successor needs so long to start. */
+  private static final long GRACE = 2_500_000_000L;
+  private static final long START = 1_000_000_000L;
+  /** A balancer is away for so long at a restart: the next process needs this to its readiness. */
+  private static final long BALANCER_START = 2_500_000_000L;
+
+  private final FleetRun run;
+  private final Agenda agenda;
+  private final Chance chance;
+
+  Troubles(FleetRun run, long seed) {
+    this.run = run;
+    agenda = run.agenda();
+    chance = new Chance(seed, "troubles");
+  }
+
+  void plan(List<Trouble> troubles) {
+    for (Trouble t : troubles) {
+      if (t instanceof Trouble.Crash c) {
+        at(c.at(), () -> some(c.part()).forEach(s -> crash(s, c.backAfter())));
+      } else if (t instanceof Trouble.ZoneLost z) {
+        at(z.at(), () -> run.servers().stream().filter(s -> s.zone.equals(FleetRun.zone(z.zone()))).toList()
+            .forEach(s -> crash(s, z.lasts())));
+      } else if (t instanceof Trouble.Slow s) {
+        at(s.at(), () -> some(s.part()).forEach(one -> {
+          one.slow(s.times());
+          in(s.lasts(), () -> one.slow(1));
+        }));
+      } else if (t instanceof Trouble.Failing f) {
+        at(f.at(), () -> some(f.part()).forEach(one -> {
+          one.fail(f.share());
+          in(f.lasts(), () -> one.fail(0));
+        }));
+      } else if (t instanceof Trouble.Mute m) {
+        at(m.at(), () -> some(m.part()).forEach(one -> {
+          one.mute(true);
+          in(m.lasts(), () -> one.mute(false));
+        }));
+      } else if (t instanceof Trouble.ListLate l) {
+        long usual = run.list().lateNanos();
+        at(l.from(), () -> run.list().late((long) (l.seconds() * SECOND)));
+        at(l.to(), () -> run.list().late(usual));
+      } else {
+        planFleet(t);
+      }
+    }
+  }
+
+  private void planFleet(Trouble t) {
+    if (t instanceof Trouble.Deploy d) {
+      at(d.from(), () -> inGroups(some(d.part()), d.atOnce() * run.servers().size(), d.lasts(), s -> drain(s, true)));
+    } else if (t instanceof Trouble.Shrink s) {
+      at(s.from(), () -> inGroups(some(1 - s.to()), 1, s.lasts(), one -> drain(one, false)));
+    } else if (t instanceof Trouble.Restart r) {
+      at(r.from(), () -> inGroups(hosts(r.part()), Math.max(1, r.atOnce() * run.hosts().size()), r.lasts(),
+          h -> away(h, BALANCER_START)));
+    } else if (t instanceof Trouble.BalancerCrash b) {
+      at(b.at(), () -> hosts(b.part()).forEach(h -> away(h, (long) (b.backAfter() * SECOND))));
+    }
+  }
+
+  private void at(double second, Runnable what) {
+    agenda.at((long) (second * SECOND), what);
+  }
+
+  private void in(double seconds, Runnable what) {
+    agenda.in((long) (seconds * SECOND), what);
+  }
+
+  /** A part of the upstreams by chance, at least one where the part is not 0. */
+  private List<Server> some(double part) {
+    return part(run.servers().stream().filter(Server::up).toList(), part);
+  }
+
+  private List<Host> hosts(double part) {
+    return part(run.hosts().stream().filter(Host::up).toList(), part);
+  }
+
+  private <T> List<T> part(List<T> of, double part) {
+    List<T> all = new ArrayList<>(of);
+    for (int i = all.size() - 1; i > 0; i--) {
+      int j = chance.below(i + 1);
+      T t = all.get(i);
+      all.set(i, all.get(j));
+      all.set(j, t);
+    }
+    return all.subList(0, Math.min(all.size(), (int) Math.round(part * all.size())));
+  }
+
+  /** Evenly over the time, so many together. */
+  private <T> void inGroups(List<T> all, double size, double lasts, java.util.function.Consumer<T> what) {
+    int group = Math.max(1, (int) size);
+    int groups = (all.size() + group - 1) / group;
+    for (int g = 0; g < groups; g++) {
+      List<T> these = List.copyOf(all.subList(g * group, Math.min(all.size(), (g + 1) * group)));
+      in(lasts * g / Math.max(1, groups), () -> these.forEach(what));
+    }
+  }
+
+  private void crash(Server s, double backAfter) {
+    run.end(s);
+    run.list().change(s, State.GONE);
+    in(backAfter, () -> run.begin(s));
+  }
+
+  private void drain(Server s, boolean replaced) {
+    run.list().change(s, State.DRAINING);
+    agenda.in(run.list().lateNanos() + GRACE, () -> {
+      run.end(s);
+      run.list().change(s, State.GONE);
+      if (replaced) {
+        agenda.in(START, () -> run.replace(s));
+      }
+    });
+  }
+
+  private void away(Host host, long nanos) {
+    if (host.up()) {
+      host.crash();
+      run.customers().down(host);
+      agenda.in(nanos, () -> {
+        host.restart();
+        run.customers().up(host);
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/world/Worlds.java
@@ -0,0 +1,48 @@
+package pumicekeel.lab.world;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Worlds by name; figures are the middles of the brief's ranges. */
+public final class Worlds {
+
+  private static final long MS = 1_000_000L;
+  private static final Map<String, List<Trouble>> TROUBLES = troubles();
+
+  private Worlds() {}
+
+  private static Map<String, List<Trouble>> troubles() {
+    Map<String, List<Trouble>> t = new LinkedHashMap<>();
+    t.put("calm", List.of());
+    t.put("burst", List.of(new Trouble.Burst(15, 30, 2)));
+    t.put("shrink", List.of(new Trouble.Shrink(12, 16, 0.45)));
+    t.put("rolling-restart", List.of(new Trouble.Restart(10, 18, 0.96, 0.3)));
+    t.put("rolling-deploy", List.of(new Trouble.Deploy(8, 30, 0.95, 0.18)));
+    t.put("quarter-crashed", List.of(new Trouble.Crash(15, 0.25, 15)));
+    t.put("fifth-slow", List.of(new Trouble.Slow(12, 0.2, 6, 20)));
+    t.put("zone-lost", List.of(new Trouble.ZoneLost(15, 1, 20)));
+    t.put("lists-late", List.of(new Trouble.ListLate(0, 60, 6), new Trouble.Deploy(8, 30, 0.6, 0.18)));
+    t.put("retry-storm", List.of(new Trouble.Burst(15, 25, 1.6), new Trouble.RetryStorm(0, 60, 3)));
+    t.put("balancers-crashed", List.of(new Trouble.BalancerCrash(15, 0.3, 8)));
+    t.put("failing", List.of(new Trouble.Failing(12, 0.15, 0.9, 20)));
+    t.put("mute", List.of(new Trouble.Mute(12, 0.15, 10)));
+    t.put("crash-and-burst", List.of(new Trouble.Crash(15, 0.25, 15), new Trouble.Burst(18, 30, 1.5)));
+    t.put("restart-and-slow", List.of(new Trouble.Restart(10, 18, 0.96, 0.3), new Trouble.Slow(12, 0.2, 6, 20)));
+    return t;
+  }
+
+  public static List<String> names() {
+    return List.copyOf(TROUBLES.keySet());
+  }
+
+  /** A world by name, of this size; null for no such name. */
+  public static WorldSpec of(String name, int balancers, int servers) {
+    List<Trouble> troubles = TROUBLES.get(name);
+    if (troubles == null) {
+      return null;
+    }
+    int zones = name.equals("zone-lost") ? Math.min(3, servers) : 1;
+    return new WorldSpec(name, balancers, servers, 45, 1.4, 90, 0.9, zones, 2 * MS, 2, 2_000 * MS, 2_000 * MS, 0.7, 0.5, troubles);
+  }
+}
