--- a/src/main/java/pumicekeel/lab/experiment/Report.java
+++ b/src/main/java/pumicekeel/lab/experiment/Report.java
@@ -4,6 +4,7 @@
 import java.awt.Font;
 import java.awt.geom.Rectangle2D;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,6 +21,7 @@
 import org.jfree.svg.SVGGraphics2D;
 import pumicekeel.lab.fleet.Figures;
 import pumicekeel.lab.policy.Policies;
+import pumicekeel.lab.world.Worlds;
 
 /** One self-contained page of what an experiment came to: tables by world and size, and plots beside them. */
 public final class Report {
@@ -35,10 +37,14 @@
   private Report() {}
 
   /** The page, HTML. */
-  public static String html(String title, List<Result> results) {
+  public static String html(String title, List<Result> all) {
+    // Runs end in any order; a policy has its place and its colour on every page.
+    List<Result> results = all.stream().sorted(Comparator.<Result>comparingInt(r -> Worlds.names().indexOf(r.run().world()))
+        .thenComparingInt(r -> Policies.names().indexOf(r.run().policy())).thenComparingInt(r -> r.run().balancers())
+        .thenComparingDouble(r -> r.run().value()).thenComparingLong(r -> r.run().seed())).toList();
     StringBuilder out = new StringBuilder("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>").append(text(title))
-        .append("</title><style>body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1080px;color:#222}"
-            + "table{border-collapse:collapse;margin:.5em 0 2em}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}"
+        .append("</title><style>body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1240px;color:#222}"
+            + "table{border-collapse:collapse;font-size:13px;white-space:nowrap;margin:.5em 0 2em}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}"
             + "td:first-child,th:first-child{text-align:left}tr.own{font-weight:600}td.bad{color:#b00020}svg{max-width:100%;height:auto}"
             + "</style></head><body><h1>").append(text(title)).append("</h1>");
     Set<String> builds = new LinkedHashSet<>();
@@ -108,7 +114,7 @@
     renderer.setShadowVisible(false);
     renderer.setItemMargin(0.02);
     for (int i = 0; i < data.getRowCount(); i++) {
-      renderer.setSeriesPaint(i, COLOURS[i % COLOURS.length]);
+      renderer.setSeriesPaint(i, COLOURS[Math.max(0, Policies.names().indexOf(data.getRowKey(i))) % COLOURS.length]);
     }
     SVGGraphics2D svg = new SVGGraphics2D(WIDTH, HEIGHT);
     chart.draw(svg, new Rectangle2D.Double(0, 0, WIDTH, HEIGHT));
