lab real: the same world in virtual time and on sockets, with an open-loop load

Change: package lab.real: the world's upstreams and traffic on real sockets, its clock pumped by the loop, the real program between; clients are an open loop without coordinated omission (HdrHistogram). Deployment holds what both runs share.

--- a/src/main/java/pumicekeel/cli/LabCommand.java
+++ b/src/main/java/pumicekeel/cli/LabCommand.java
@@ -25,6 +25,7 @@
 import pumicekeel.lab.fleet.Figures;
 import pumicekeel.lab.fleet.FleetRun;
 import pumicekeel.lab.policy.Policies;
+import pumicekeel.lab.real.RealRun;
 import pumicekeel.lab.world.WorldSpec;
 import pumicekeel.lab.world.Worlds;
 
@@ -32,7 +33,7 @@
 @Command(name = "lab", mixinStandardHelpOptions = true,
     description = "Try policies on whole fleets in virtual time, compare them, and see why.",
     subcommands = {LabCommand.Run.class, LabCommand.Compare.class, LabCommand.MakeReport.class, LabCommand.Explain.class,
-        LabCommand.Shrink.class, LabCommand.Play.class})
+        LabCommand.Shrink.class, LabCommand.Play.class, LabCommand.Real.class})
 final class LabCommand implements Callable<Integer> {
 
   @Spec
@@ -227,6 +228,44 @@
     }
   }
 
+  /** Model against sockets. */
+  @Command(name = "real", mixinStandardHelpOptions = true,
+      description = "Play a small world in virtual time and on real sockets with the real program, and hold the two against each other."
+          + " Clients ask once; of troubles only bursts are played. Takes the world's seconds twice, and some.",
+      footer = {"Exit status: 0 where the served share lies within 0.03 and the median within 15 %%, else 1."})
+  static final class Real extends OneRun {
+
+    private static final double SERVED_WITHIN = 0.03;
+    private static final double MEDIAN_WITHIN = 0.15;
+    /** Before the run that counts: a program that is just compiled is no steady state. */
+    private static final double REHEARSAL_SECONDS = 10;
+
+    @Override
+    public Integer call() throws Exception {
+      WorldSpec world = world().with("retry-part", 0);
+      PrintWriter out = spec.commandLine().getOut();
+      Figures model = new FleetRun(world, Policies.of(Policies.OWN), seed, null).play(() -> false);
+      out.println("virtual time done; rehearsal");
+      out.flush();
+      new RealRun(world.withSeconds(REHEARSAL_SECONDS), seed + 1).play();
+      out.println("real run of " + world.seconds() + " s");
+      out.flush();
+      RealRun.Figures real = new RealRun(world, seed).play();
+      double served = (double) model.served() / model.tries();
+      out.printf("%-10s %9s %9s %9s %9s %9s %9s%n", "", "asked", "served", "refused", "worth", "p50 ms", "p99 ms");
+      out.printf("%-10s %9d %9.4f %9.4f %9.4f %9.1f %9.1f%n", "virtual", model.asked(), served, model.get("refused-part"), model.worth(),
+          model.p50Millis(), model.p99Millis());
+      out.printf("%-10s %9d %9.4f %9.4f %9.4f %9.1f %9.1f%n", "sockets", real.asked(), real.servedPart(), real.refusedPart(),
+          real.worth(), real.p50Millis(), real.p99Millis());
+      out.printf("without an answer or failed %d, another's answer %d; the world itself was late by %.1f ms at the worst%n",
+          real.otherOrNone(), real.wrong(), real.lateMillis());
+      boolean close = Math.abs(real.servedPart() - served) <= SERVED_WITHIN
+          && Math.abs(real.p50Millis() / model.p50Millis() - 1) <= MEDIAN_WITHIN && real.wrong() == 0;
+      out.println(close ? "close" : "not close");
+      return close ? 0 : 1;
+    }
+  }
+
   /** One request. */
   @Command(name = "explain", mixinStandardHelpOptions = true, description = "Play one run and tell what became of one request.",
       footer = {"Exit status: 0, or 1 where there is no such request."})
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/fleet/Deployment.java
@@ -0,0 +1,92 @@
+package pumicekeel.lab.fleet;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import pumicekeel.Balancer.Contract;
+import pumicekeel.Balancer.Limits;
+import pumicekeel.Balancer.Prices;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.Balancer.Tenant;
+import pumicekeel.Balancer.WeightKind;
+import pumicekeel.lab.world.Agenda;
+import pumicekeel.lab.world.Chance;
+import pumicekeel.lab.world.RequestKind;
+import pumicekeel.lab.world.Server;
+import pumicekeel.lab.world.ServerSpec;
+import pumicekeel.lab.world.Traffic;
+import pumicekeel.lab.world.WorldSpec;
+
+/** The upstreams of a world and what its balancers are told; what the brief gives as a range is drawn by the seed. */
+public final class Deployment {
+
+  private static final long MS = 1_000_000L;
+  private static final long SECOND = 1_000 * MS;
+  private static final int MOST_OPEN = 20_000;
+  private static final long FIRST_ID = 100;
+
+  private final WorldSpec spec;
+  private final Agenda agenda;
+  private final Chance chance;
+  private final Map<Long, Server> byId = new LinkedHashMap<>();
+  private final Map<Integer, Server.Cell> cells = new HashMap<>();
+  private final double capacity;
+  private long nextId = FIRST_ID;
+
+  public Deployment(WorldSpec spec, Agenda agenda, long seed) {
+    this.spec = spec;
+    this.agenda = agenda;
+    chance = new Chance(seed, "fleet");
+    for (int i = 0; i < spec.servers(); i++) {
+      // Those that start with the world are warm: their start was long ago.
+      add(draw(), i % spec.zones(), i / spec.cellSize(), -1);
+    }
+    capacity = byId.values().stream().mapToDouble(s -> s.spec().capacity()).sum();
+  }
+
+  /** Zones by number. */
+  public static String zone(int number) {
+    return "z" + number;
+  }
+
+  private ServerSpec draw() {
+    boolean large = chance.uniform() < 0.4;
+    int cores = large ? 3 : 2;
+    double speed = large ? chance.between(0.85, 1.1) : chance.between(0.51, 0.69);
+    return new ServerSpec(cores, speed, cores * 12, cores * 20, 0.005, 0.32, 8_500 * MS, chance.below(1_500) + 1_200,
+        (long) (MS * chance.between(0.89, 3.4)), (long) (SECOND * chance.between(19, 39)), 0.75, 400);
+  }
+
+  /** What one balancer is told. */
+  public Settings settings(int me, String zone) {
+    List<Tenant> tenants = IntStream.range(0, Traffic.TENANTS.size()).mapToObj(i -> new Tenant(Traffic.TENANTS.get(i),
+        Traffic.SHARES[i], Traffic.SHARES[i] * 1.5 * capacity / RequestKind.meanWork(RequestKind.BRIEF))).toList();
+    return new Settings(me, spec.balancers(), zone, RequestKind.BRIEF.stream().map(RequestKind::type).toList(), tenants,
+        new Limits(true, false, false, true, true, 2 * SECOND, 6, MOST_OPEN, 1, 250 * MS, 15 * SECOND),
+        new Contract(8 * MS, 0, 2 * SECOND, 0.32, 8_500 * MS, 3, 3 * SECOND), new Prices(0, 0.02, 0.03), false, WeightKind.NONE, 0.2,
+        true, MS);
+  }
+
+  /** Work that the upstreams which start with the world can do in a second. */
+  public double capacity() {
+    return capacity;
+  }
+
+  /** All upstreams there ever were, by id. */
+  public Map<Long, Server> servers() {
+    return byId;
+  }
+
+  /** Another one, that starts now. */
+  Server successor(Server of) {
+    return add(of.spec(), Integer.parseInt(of.zone.substring(1)), of.cellNumber, agenda.now());
+  }
+
+  private Server add(ServerSpec its, int zone, int cell, long startedAt) {
+    Server s = new Server(nextId++, zone(zone), cell, its, cells.computeIfAbsent(cell, k -> new Server.Cell()), agenda, startedAt);
+    byId.put(s.id, s);
+    return s;
+  }
+}
--- a/src/main/java/pumicekeel/lab/fleet/FleetRun.java
+++ b/src/main/java/pumicekeel/lab/fleet/FleetRun.java
@@ -2,26 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import java.util.stream.IntStream;
 import pumicekeel.Balancer;
-import pumicekeel.Balancer.Contract;
-import pumicekeel.Balancer.Limits;
-import pumicekeel.Balancer.Prices;
 import pumicekeel.Balancer.Settings;
 import pumicekeel.Balancer.State;
-import pumicekeel.Balancer.Tenant;
-import pumicekeel.Balancer.WeightKind;
 import pumicekeel.lab.policy.Oracle;
 import pumicekeel.lab.policy.Policies;
 import pumicekeel.lab.world.Agenda;
-import pumicekeel.lab.world.Chance;
 import pumicekeel.lab.world.RequestKind;
 import pumicekeel.lab.world.Server;
-import pumicekeel.lab.world.ServerSpec;
 import pumicekeel.lab.world.Traffic;
 import pumicekeel.lab.world.WorldSpec;
 
@@ -70,26 +61,23 @@
   private static final long TAIL = 15 * SECOND;
   /** How old the true state is that the policy with an oracle sees. */
   private static final long ORACLE_AGE = 100 * MS;
-  private static final int MOST_OPEN = 20_000;
 
   private final WorldSpec spec;
   private final Policies.Maker maker;
   private final long seed;
   private final Trace trace;
   private final Agenda agenda = new Agenda();
-  private final Map<Long, Server> byId = new LinkedHashMap<>();
+  private final Deployment deployment;
+  private final Map<Long, Server> byId;
   private final Map<Long, Integer> lives = new HashMap<>();
-  private final Map<Integer, Server.Cell> cells = new HashMap<>();
   private final List<Host> hosts = new ArrayList<>();
   private final Map<Long, Double> crowds = new HashMap<>();
   private final Count count = new Count();
-  private final Chance chance;
   private final NodeList list;
   private final Settings settings;
   private final Judge judge;
   private final Customers customers;
   private final double capacity;
-  private long nextId;
 
   /** A run; {@code trace} may be null. */
   public FleetRun(WorldSpec spec, Policies.Maker maker, long seed, Trace trace) {
@@ -97,44 +85,19 @@
     this.maker = maker;
     this.seed = seed;
     this.trace = trace;
-    chance = new Chance(seed, "fleet");
+    deployment = new Deployment(spec, agenda, seed);
+    byId = deployment.servers();
+    capacity = deployment.capacity();
     list = new NodeList(agenda, seed, hosts, spec.listNanos());
-    for (int i = 0; i < spec.servers(); i++) {
-      // Those that start with the world are warm: their start was long ago.
-      add(draw(), i % spec.zones(), i / spec.cellSize(), -1);
-    }
-    capacity = byId.values().stream().mapToDouble(s -> s.spec().capacity()).sum();
     byId.values().forEach(list::enter);
-    settings = settings(0, zone(0));
+    settings = deployment.settings(0, Deployment.zone(0));
     judge = new Judge(settings.contract(), RequestKind.meanWork(RequestKind.BRIEF));
     for (int i = 0; i < spec.balancers(); i++) {
-      hosts.add(new Host(i, this, zone(i % spec.zones()), seed));
+      hosts.add(new Host(i, this, Deployment.zone(i % spec.zones()), seed));
     }
     customers = new Customers(this, seed);
   }
 
-  /** Zones by number. */
-  static String zone(int number) {
-    return "z" + number;
-  }
-
-  private ServerSpec draw() {
-    boolean large = chance.uniform() < 0.4;
-    int cores = large ? 3 : 2;
-    double speed = large ? chance.between(0.85, 1.1) : chance.between(0.51, 0.69);
-    return new ServerSpec(cores, speed, cores * 12, cores * 20, 0.005, 0.32, 8_500 * MS, chance.below(1_500) + 1_200,
-        (long) (MS * chance.between(0.89, 3.4)), (long) (SECOND * chance.between(19, 39)), 0.75, 400);
-  }
-
-  private Settings settings(int me, String zone) {
-    List<Tenant> tenants = IntStream.range(0, Traffic.TENANTS.size()).mapToObj(i -> new Tenant(Traffic.TENANTS.get(i),
-        Traffic.SHARES[i], Traffic.SHARES[i] * 1.5 * capacity / RequestKind.meanWork(RequestKind.BRIEF))).toList();
-    return new Settings(me, spec.balancers(), zone, RequestKind.BRIEF.stream().map(RequestKind::type).toList(), tenants,
-        new Limits(true, false, false, true, true, 2 * SECOND, 6, MOST_OPEN, 1, 250 * MS, 15 * SECOND),
-        new Contract(8 * MS, 0, 2 * SECOND, 0.32, 8_500 * MS, 3, 3 * SECOND), new Prices(0, 0.02, 0.03), false, WeightKind.NONE, 0.2,
-        true, MS);
-  }
-
   // ---- For those that play in it ------------------------------------------------------------------------
 
   Agenda agenda() {
@@ -193,17 +156,11 @@
 
   Balancer policyOf(Host host, long itsSeed) {
     Oracle oracle = id -> crowds.getOrDefault(id, 0.0);
-    return maker.make(settings(host.number, host.zone()), itsSeed, oracle);
+    return maker.make(deployment.settings(host.number, host.zone()), itsSeed, oracle);
   }
 
   // ---- Upstreams ----------------------------------------------------------------------------------------
 
-  private Server add(ServerSpec its, int zone, int cell, long startedAt) {
-    Server s = new Server(100 + nextId++, zone(zone), cell, its, cells.computeIfAbsent(cell, k -> new Server.Cell()), agenda, startedAt);
-    byId.put(s.id, s);
-    return s;
-  }
-
   /** Its process ends, with all that it holds. */
   void end(Server s) {
     s.crash();
@@ -218,8 +175,7 @@
 
   /** A cold successor under a new id takes the place of one that has gone; it remembers nothing, not even repeats. */
   void replace(Server s) {
-    Server next = add(s.spec(), Integer.parseInt(s.zone.substring(1)), s.cellNumber, agenda.now());
-    list.change(next, State.READY);
+    list.change(deployment.successor(s), State.READY);
   }
 
   /** Pushed over by all together: it stays down. */
--- a/src/main/java/pumicekeel/lab/fleet/Troubles.java
+++ b/src/main/java/pumicekeel/lab/fleet/Troubles.java
@@ -33,7 +33,7 @@
       if (t instanceof Trouble.Crash c) {
         at(c.at(), () -> some(c.part()).forEach(s -> crash(s, c.backAfter())));
       } else if (t instanceof Trouble.ZoneLost z) {
-        at(z.at(), () -> run.servers().stream().filter(s -> s.zone.equals(FleetRun.zone(z.zone()))).toList()
+        at(z.at(), () -> run.servers().stream().filter(s -> s.zone.equals(Deployment.zone(z.zone()))).toList()
             .forEach(s -> crash(s, z.lasts())));
       } else if (t instanceof Trouble.Slow s) {
         at(s.at(), () -> some(s.part()).forEach(one -> {
--- a/src/main/java/pumicekeel/lab/world/Agenda.java
+++ b/src/main/java/pumicekeel/lab/world/Agenda.java
@@ -59,6 +59,14 @@
     return at(now + nanos, what);
   }
 
+  /** When the next thing happens; {@link Long#MAX_VALUE} where nothing will. */
+  public long nextAt() {
+    while (!timers.isEmpty() && timers.peek().what == null) {
+      timers.poll();
+    }
+    return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
+  }
+
   /** Lets all happen that is due before {@code end}, or until {@code stop} says so; false for the latter. */
   public boolean run(long end, java.util.function.BooleanSupplier stop) {
     for (Timer next = timers.peek(); next != null && next.at < end; next = timers.peek()) {
--- a/src/main/java/pumicekeel/lab/world/Traffic.java
+++ b/src/main/java/pumicekeel/lab/world/Traffic.java
@@ -31,6 +31,7 @@
   private final DiscreteSampler keys;
   private final Consumer<Ask> to;
   private long number;
+  private long origin;
 
   /** {@code capacity}: work that all upstreams can do in a second. */
   public Traffic(Agenda agenda, WorldSpec spec, List<RequestKind> kinds, double capacity, long seed, Consumer<Ask> to) {
@@ -50,6 +51,12 @@
   }
 
   public void start() {
+    start(agenda.now());
+  }
+
+  /** Begins at a moment from which the world's seconds count. */
+  public void start(long from) {
+    origin = from;
     next();
   }
 
@@ -58,9 +65,9 @@
         ? b.times() : 1).filter(t -> t > 1).reduce(1, (a, b) -> a * b);
     // Thinning (Lewis, Shedler 1979): arrivals at the peak's rate, of which the present rate's part is kept.
     agenda.in((long) (chance.exponential() * 1e9 / (perSecond * peak)), () -> {
-      boolean comes = chance.uniform() * peak < factor(agenda.now() / 1e9);
+      boolean comes = chance.uniform() * peak < factor((agenda.now() - origin) / 1e9);
       Ask ask = draw();
-      if (agenda.now() < spec.seconds() * 1e9) {
+      if (agenda.now() - origin < spec.seconds() * 1e9) {
         if (comes) {
           to.accept(ask);
         }
