--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -401,9 +401,13 @@
    * attempts spend in this balancer is its own silence: a slow one would copy and shut out what is well, and
    * be slower still. Hurts where it is slow and an upstream dies at once: seen so much later. */
   private boolean silent(Upstream u) {
-    double gap = u.window.mean(now, 1) / Math.max(1, u.inFlight);
+    if (u.inFlight == 0) {
+      // First, as most are: a sweep looks at all of them.
+      return false;
+    }
+    double gap = u.window.mean(now, 1) / u.inFlight;
     double own = u.window.total(now, Metric.OURS) / Math.max(1, u.window.total(now, Metric.SAMPLES));
-    return u.inFlight > 0 && gap > 0
+    return gap > 0
         && now - u.heardAt > Math.max(SILENT_GAPS * gap, SILENT_PART * shortestAim) + SILENT_OWN * own;
   }
 
--- a/src/main/java/pumicekeel/Window.java
+++ b/src/main/java/pumicekeel/Window.java
@@ -1,5 +1,7 @@
 package pumicekeel;
 
+import java.util.Arrays;
+
 /** Counts and sums over the last window, and further back where it holds too few samples. */
 final class Window {
 
@@ -41,7 +43,13 @@
   /** The total of the last window. */
   double total(long now, Metric metric) {
     long current = now / slotNanos;
-    for (long s = Math.max(slot + 1, current - kept + 1); s <= current; s++) {
+    if (current - slot >= kept) {
+      // All lies further back. Turned slot by slot, some would be taken off that left the totals long ago, and the
+      // last ones never: the difference would count from then on.
+      clear();
+      slot = current;
+    }
+    for (long s = slot + 1; s <= current; s++) {
       for (int m = 0; m < totals.length; m++) {
         totals[m] -= s >= SLOTS ? slots[m][(int) ((s - SLOTS) % kept)] : 0;
         slots[m][(int) (s % kept)] = 0;
@@ -51,6 +59,13 @@
     return totals[metric.ordinal()];
   }
 
+  private void clear() {
+    for (int m = 0; m < totals.length; m++) {
+      totals[m] = 0;
+      Arrays.fill(slots[m], 0);
+    }
+  }
+
   /** The total of the last window, reaching back for so many samples as far as the window remembers. */
   double reach(long now, Metric metric, int enough) {
     double sum = total(now, metric);
