--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -52,7 +52,7 @@
    * full attempt counts this many aims: a crowded upstream rests, a failing one does not look idle. */
   private static final double SPARSE = 0.12;
   /** With many balancers the view is sparse sooner: each may have one request at an upstream whatever the
-   * bound says, and all would have it at the same keys' ones. So much for each balancer, one request at most. */
+   * bound says, and all would have it at the same keys' ones. So much for each balancer, and the most. */
   private static final double SPARSE_EACH = 0.05;
   private static final double SPARSE_MOST = 1;
   private static final double FAILED_AIMS = 4;
