--- a/src/main/java/pumicekeel/lab/experiment/Report.java
+++ b/src/main/java/pumicekeel/lab/experiment/Report.java
@@ -1,8 +1,15 @@
 package pumicekeel.lab.experiment;
 
+import de.erichseifert.vectorgraphics2d.VectorGraphics2D;
+import de.erichseifert.vectorgraphics2d.svg.SVGProcessor;
+import de.erichseifert.vectorgraphics2d.util.PageSize;
 import java.awt.Color;
 import java.awt.Font;
 import java.awt.geom.Rectangle2D;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -17,8 +24,8 @@
 import org.jfree.chart.plot.PlotOrientation;
 import org.jfree.chart.renderer.category.BarRenderer;
 import org.jfree.chart.renderer.category.StandardBarPainter;
+import org.jfree.chart.text.TextUtils;
 import org.jfree.data.category.DefaultCategoryDataset;
-import org.jfree.svg.SVGGraphics2D;
 import pumicekeel.lab.fleet.Figures;
 import pumicekeel.lab.policy.Policies;
 import pumicekeel.lab.world.Worlds;
@@ -45,7 +52,7 @@
     StringBuilder out = new StringBuilder("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>").append(text(title))
         .append("</title><style>body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1240px;color:#222}"
             + "table{border-collapse:collapse;font-size:13px;white-space:nowrap;margin:.5em 0 2em}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}"
-            + "td:first-child,th:first-child{text-align:left}tr.own{font-weight:600}td.bad{color:#b00020}svg{max-width:100%;height:auto}"
+            + "td:first-child,th:first-child{text-align:left}tr.own{font-weight:600}td.bad{color:#b00020}svg{max-width:100%;height:auto;font:12px \"DejaVu Sans\",Verdana,sans-serif}"
             + "</style></head><body><h1>").append(text(title)).append("</h1>");
     Set<String> builds = new LinkedHashSet<>();
     results.forEach(r -> builds.add(r.build()));
@@ -97,6 +104,8 @@
   }
 
   private static String plot(String metric, List<Result> results) {
+    // Else rotated labels come as outlines of letters and not as text.
+    TextUtils.setUseDrawRotatedStringWorkaround(false);
     DefaultCategoryDataset data = new DefaultCategoryDataset();
     byWorldAndPolicy(results).forEach((world, policies) -> policies.forEach((policy, of) -> data.addValue(mean(of, metric), policy, world)));
     JFreeChart chart = ChartFactory.createBarChart(null, null, metric + (Figures.lessIsBetter(metric) ? " (less is better)" : ""), data,
@@ -116,9 +125,17 @@
     for (int i = 0; i < data.getRowCount(); i++) {
       renderer.setSeriesPaint(i, COLOURS[Math.max(0, Policies.names().indexOf(data.getRowKey(i))) % COLOURS.length]);
     }
-    SVGGraphics2D svg = new SVGGraphics2D(WIDTH, HEIGHT);
-    chart.draw(svg, new Rectangle2D.Double(0, 0, WIDTH, HEIGHT));
-    return svg.getSVGElement();
+    VectorGraphics2D drawn = new VectorGraphics2D();
+    chart.draw(drawn, new Rectangle2D.Double(0, 0, WIDTH, HEIGHT));
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      new SVGProcessor().getDocument(drawn.getCommands(), new PageSize(0, 0, WIDTH, HEIGHT)).writeTo(out);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    String svg = out.toString(StandardCharsets.UTF_8);
+    // Without the document's head: it stands inside a page.
+    return svg.substring(svg.indexOf("<svg"));
   }
 
   private static String text(String raw) {
