--- a/src/main/java/pumicekeel/fleet/Daemon.java
+++ b/src/main/java/pumicekeel/fleet/Daemon.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -226,7 +227,7 @@
             : loop.submit(() -> command(line)).get();
         client.write(ByteBuffer.wrap((answer + "\n").getBytes(StandardCharsets.UTF_8)));
         guard.interrupt();
-      } catch (IOException | ExecutionException | java.util.concurrent.RejectedExecutionException e) {
+      } catch (IOException | ExecutionException | RejectedExecutionException e) {
         // One client's trouble, or the end.
       } catch (InterruptedException e) {
         return;
@@ -317,7 +318,12 @@
 
   /** Stops all instances in order; returns when they are down. */
   public void stop() throws InterruptedException {
-    loop.execute(() -> carryOut(supervisor.stop(System.nanoTime())));
+    try {
+      loop.execute(() -> carryOut(supervisor.stop(System.nanoTime())));
+    } catch (RejectedExecutionException e) {
+      // Closed already: the process ends after a stop by the control socket.
+      return;
+    }
     awaitOver();
   }
 
--- a/src/test/java/pumicekeel/fleet/OneAddressTest.java
+++ b/src/test/java/pumicekeel/fleet/OneAddressTest.java
@@ -181,7 +181,8 @@
       BufferedReader lines = new BufferedReader(new InputStreamReader(daemon.getInputStream(), StandardCharsets.UTF_8));
       InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(),
           Integer.parseInt(lines.readLine().substring("port ".length())));
-      daemonThread(() -> lines.lines().forEach(l -> {}));
+      List<String> said = java.util.Collections.synchronizedList(new ArrayList<>());
+      daemonThread(() -> lines.lines().forEach(said::add));
       until(() -> ready(2));
       AtomicBoolean over = new AtomicBoolean();
       AtomicInteger served = new AtomicInteger();
@@ -212,6 +213,7 @@
       assertTrue(refused.get() < served.get() / 10, refused.get() + " of " + served.get() + " were not answered with 200");
       Control.ask(run, "stop");
       assertTrue(daemon.waitFor(60, TimeUnit.SECONDS));
+      assertTrue(said.stream().noneMatch(l -> l.contains("Exception") || l.startsWith("\tat ")), said.toString());
     }
   }
 
