--- a/src/main/java/pumicekeel/cli/SimCommand.java
+++ b/src/main/java/pumicekeel/cli/SimCommand.java
@@ -32,20 +32,12 @@
           + " that die, return, sleep and have their clocks set back. Without --detect: faults by the seed, then quiet, then"
           + " every view has to be the truth. With it: how long a death takes to be seen, and what membership costs at rest.",
       footer = {"Exit status: 0 where all held, 1 at the first seed that did not; its line says how to repeat it."})
-  static final class Fleet implements Callable<Integer> {
+  static final class Fleet extends BySeed {
 
     private static final long SECOND = 1_000_000_000L;
     private static final int LEAST = 3;
-    private static final int SPREAD = 18;
     private static final int KILLS = 10;
 
-    @Option(names = "--seed", paramLabel = "S", defaultValue = "1", description = "The first seed. Default: ${DEFAULT-VALUE}.")
-    private long seed;
-
-    @Option(names = "--runs", paramLabel = "N", defaultValue = "1",
-        description = "Seeds from the first on, 1 to 10000000. Default: ${DEFAULT-VALUE}.")
-    private long runs;
-
     @Option(names = "--size", paramLabel = "N",
         description = "Members, 3 to 1000. Default: 3 to 20 by the seed; with --detect 3, 20, 100 and 1000.")
     private Integer size;
@@ -57,9 +49,6 @@
         description = "With --detect: the part of datagrams that is lost, 0 to 0.9. Default: ${DEFAULT-VALUE}.")
     private double loss;
 
-    @Spec
-    private CommandSpec spec;
-
     @Override
     public Integer call() {
       if (runs < 1 || runs > 10_000_000 || size != null && (size < LEAST || size > 1_000) || loss < 0 || loss > 0.9) {
@@ -71,18 +60,14 @@
     }
 
     private int play(PrintWriter out) {
-      long step = Math.max(1, runs / 20);
       for (long i = 0; i < runs; i++) {
         long s = seed + i;
-        FleetSim.Report r = new FleetSim(s, size == null ? LEAST + (int) Math.floorMod(s * 7, (long) SPREAD) : size).faults();
+        FleetSim.Report r = new FleetSim(s, sizeOf(size, s)).faults();
         if (r.fault() != null) {
           out.println("seed " + s + ": " + r.fault());
           return 1;
         }
-        if (runs > 1 && (i + 1) % step == 0) {
-          out.println(i + 1 + " of " + runs);
-          out.flush();
-        }
+        progress(i + 1);
       }
       out.println(runs + " runs from seed " + seed + ": every view was the truth");
       return 0;
@@ -122,43 +107,58 @@
     }
   }
 
-  /** The decisions of a fleet. */
-  @Command(name = "modules", mixinStandardHelpOptions = true,
-      description = "The decision modules of a whole fleet, with upstreams that hang, die, drain and return cold, a list that"
-          + " reaches each instance late, and instances that die, sleep and start from old lists. What reaches the upstreams is"
-          + " held against the four rules.",
-      footer = {"Exit status: 0 where all held, 1 at the first seed that did not; its line says how to repeat it."})
-  static final class Modules implements Callable<Integer> {
+  /** Seeds one after the other; the seed decides the size where none is given. */
+  private abstract static class BySeed implements Callable<Integer> {
 
     private static final int LEAST = 3;
     private static final int SPREAD = 18;
+    private static final int LINES = 20;
 
     @Option(names = "--seed", paramLabel = "S", defaultValue = "1", description = "The first seed. Default: ${DEFAULT-VALUE}.")
-    private long seed;
+    protected long seed;
 
     @Option(names = "--runs", paramLabel = "N", defaultValue = "1",
         description = "Seeds from the first on, 1 to 10000000. Default: ${DEFAULT-VALUE}.")
-    private long runs;
+    protected long runs;
+
+    @Spec
+    protected CommandSpec spec;
+
+    protected static int sizeOf(Integer given, long seed) {
+      return given == null ? LEAST + (int) Math.floorMod(seed * 7, (long) SPREAD) : given;
+    }
+
+    protected void progress(long done) {
+      if (runs > 1 && done % Math.max(1, runs / LINES) == 0) {
+        spec.commandLine().getOut().println(done + " of " + runs);
+        spec.commandLine().getOut().flush();
+      }
+    }
+  }
+
+  /** The decisions of a fleet. */
+  @Command(name = "modules", mixinStandardHelpOptions = true,
+      description = "The decision modules of a whole fleet, with upstreams that hang, die, drain and return cold, a list that"
+          + " reaches each instance late, and instances that die, sleep and start from old lists. What reaches the upstreams is"
+          + " held against the four rules.",
+      footer = {"Exit status: 0 where all held, 1 at the first seed that did not; its line says how to repeat it."})
+  static final class Modules extends BySeed {
 
     @Option(names = "--size", paramLabel = "N", description = "Instances, 1 to 1000. Default: 3 to 20 by the seed.")
     private Integer size;
 
-    @Spec
-    private CommandSpec spec;
-
     @Override
     public Integer call() {
       if (runs < 1 || runs > 10_000_000 || size != null && (size < 1 || size > 1_000)) {
         throw new ParameterException(spec.commandLine(), "expected --runs 1 to 10000000, --size 1 to 1000");
       }
       PrintWriter out = spec.commandLine().getOut();
-      long step = Math.max(1, runs / 20);
       long requests = 0;
       long served = 0;
       double cold = 0;
       for (long i = 0; i < runs; i++) {
         long s = seed + i;
-        int of = size == null ? LEAST + (int) Math.floorMod(s * 7, (long) SPREAD) : size;
+        int of = sizeOf(size, s);
         ModuleSim.Report r = new ModuleSim(s, of).run();
         if (r.fault() != null) {
           out.println("seed " + s + ": " + r.fault() + "; again by sim modules --seed " + s + " --size " + of);
@@ -167,10 +167,7 @@
         requests += r.requests();
         served += r.served();
         cold = Math.max(cold, r.coldShare());
-        if (runs > 1 && (i + 1) % step == 0) {
-          out.println(i + 1 + " of " + runs);
-          out.flush();
-        }
+        progress(i + 1);
       }
       out.printf("%d runs from seed %d: all rules held; %d requests, %.1f %% served; a cold upstream got at most %.0f %% of its"
           + " budget%n", runs, seed, requests, 100.0 * served / requests, 100 * cold);
@@ -184,17 +181,7 @@
           + " and splits, with members that die, sleep and return. At every step all together may admit no more than the quota."
           + " Then how much of what could be admitted is, with lending and with fixed even parts.",
       footer = {"Exit status: 0 where all held, 1 at the first seed that did not; its line says how to repeat it."})
-  static final class Quotas implements Callable<Integer> {
-
-    private static final int LEAST = 3;
-    private static final int SPREAD = 18;
-
-    @Option(names = "--seed", paramLabel = "S", defaultValue = "1", description = "The first seed. Default: ${DEFAULT-VALUE}.")
-    private long seed;
-
-    @Option(names = "--runs", paramLabel = "N", defaultValue = "1",
-        description = "Seeds from the first on, 1 to 10000000. Default: ${DEFAULT-VALUE}.")
-    private long runs;
+  static final class Quotas extends BySeed {
 
     @Option(names = "--size", paramLabel = "N", description = "Members, 2 to 1000. Default: 3 to 20 by the seed.")
     private Integer size;
@@ -202,22 +189,18 @@
     @Option(names = "--calm", description = "No faults: only demand moves.")
     private boolean calm;
 
-    @Spec
-    private CommandSpec spec;
-
     @Override
     public Integer call() {
       if (runs < 1 || runs > 10_000_000 || size != null && (size < 2 || size > 1_000)) {
         throw new ParameterException(spec.commandLine(), "expected --runs 1 to 10000000, --size 2 to 1000");
       }
       PrintWriter out = spec.commandLine().getOut();
-      long step = Math.max(1, runs / 20);
       double shared = 0;
       double fixed = 0;
       double bytes = 0;
       for (long i = 0; i < runs; i++) {
         long s = seed + i;
-        int of = size == null ? LEAST + (int) Math.floorMod(s * 7, (long) SPREAD) : size;
+        int of = sizeOf(size, s);
         QuotaSim.Report r = new QuotaSim(s, of).run(!calm);
         if (r.fault() != null) {
           out.println("seed " + s + ": " + r.fault() + "; again by sim quotas --seed " + s + " --size " + of);
@@ -226,10 +209,7 @@
         shared += r.shared() / runs;
         fixed += r.fixed() / runs;
         bytes += r.bytes() * 1e9 / r.virtualNanos() / of / runs;
-        if (runs > 1 && (i + 1) % step == 0) {
-          out.println(i + 1 + " of " + runs);
-          out.flush();
-        }
+        progress(i + 1);
       }
       out.printf("%d runs from seed %d: never more than the quota; of what it allowed %.1f %% was admitted, by fixed even parts"
           + " %.1f %%; %.0f bytes a second a member%n", runs, seed, 100 * shared, 100 * fixed, bytes);
