--- a/src/main/java/pumicekeel/discovery/Discovery.java
+++ b/src/main/java/pumicekeel/discovery/Discovery.java
@@ -6,9 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -27,6 +25,7 @@
 import java.util.function.Consumer;
 import pumicekeel.adapter.Fields;
 import pumicekeel.runtime.Log;
+import pumicekeel.runtime.Reactor;
 
 /**
  * The watch on discovery. Each call of {@link #watch} ends in news or in one failure; asking again after a failure,
@@ -40,7 +39,7 @@
   /** Far above any list; a line without an end must not fill the memory. */
   private static final int MAX_LINE = 4 << 20;
 
-  private final EventLoop loop;
+  private final Reactor on;
   /** No version of the list is known, so all of it is asked for. */
   public static final long NO_INDEX = -1;
 
@@ -52,9 +51,9 @@
   private boolean wanted;
   private Channel current;
 
-  public Discovery(EventLoop loop, InetSocketAddress address, long index, long silenceMillis, Consumer<HostList> news,
+  public Discovery(Reactor on, InetSocketAddress address, long index, long silenceMillis, Consumer<HostList> news,
       Runnable failed) {
-    this.loop = loop;
+    this.on = on;
     this.address = address;
     this.index = index;
     this.silenceMillis = silenceMillis;
@@ -99,7 +98,7 @@
 
   private void connect() {
     WatchHandler handler = new WatchHandler();
-    current = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+    current = new Bootstrap().group(on.loop()).channelFactory(on.sockets()::connecting)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
         .handler(new ChannelInitializer<Channel>() {
           @Override
@@ -134,7 +133,7 @@
       if (silence != null) {
         silence.cancel(false);
       }
-      silence = loop.schedule(() -> end("silent"), silenceMillis, TimeUnit.MILLISECONDS);
+      silence = on.loop().schedule(() -> end("silent"), silenceMillis, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/pumicekeel/discovery/UpstreamSource.java
+++ b/src/main/java/pumicekeel/discovery/UpstreamSource.java
@@ -1,6 +1,5 @@
 package pumicekeel.discovery;
 
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -8,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import pumicekeel.Balancer.State;
+import pumicekeel.runtime.Reactor;
 
 /**
  * One list of upstreams and all who follow it: one watch serves every pool, and a pool that comes later begins with the
@@ -32,10 +32,10 @@
   private UpstreamSource() {}
 
   /** A list that is followed at an address, beginning with what was last known of it. */
-  public static UpstreamSource watched(EventLoop loop, InetSocketAddress address, HostList known) {
+  public static UpstreamSource watched(Reactor on, InetSocketAddress address, HostList known) {
     UpstreamSource source = new UpstreamSource();
     source.merge(known);
-    source.discovery = new Discovery(loop, address, known.hosts().isEmpty() ? Discovery.NO_INDEX : known.index(),
+    source.discovery = new Discovery(on, address, known.hosts().isEmpty() ? Discovery.NO_INDEX : known.index(),
         Discovery.SILENCE_MILLIS, source::news, source::failed);
     return source;
   }
--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -79,7 +79,7 @@
   private Flow answer;
   private boolean lastAnswer;
   private long stuckBytes;
-  private final long openedAt = System.nanoTime();
+  private final long openedAt;
   /** When the last request ended, and when the first byte came of the one that has come in part; 0 for never. */
   private long answeredAt;
   private long partSince;
@@ -88,6 +88,7 @@
 
   public ClientHandler(ClientSide side) {
     this.side = side;
+    openedAt = now();
   }
 
   @Override
@@ -184,7 +185,7 @@
   /** Notes a request's first byte, and drops what a client sends that is not read any more. */
   public boolean accepts(ByteBuf bytes) {
     if ((waiting == null || upload != null) && !discarding) {
-      pieceAt = System.nanoTime();
+      pieceAt = now();
       partSince = partSince == 0 ? pieceAt : partSince;
       return true;
     }
@@ -253,7 +254,7 @@
       return;
     }
     head = next;
-    headAt = System.nanoTime();
+    headAt = now();
     pieceAt = headAt;
     received = 0;
     body = new ByteArrayOutputStream();
@@ -306,7 +307,7 @@
     if (upload == null) {
       return;
     }
-    long now = System.nanoTime();
+    long now = now();
     if (held && on) {
       headAt += now - heldSince;
       pieceAt = now;
@@ -374,7 +375,7 @@
     String text = head.method().equals(HttpMethod.HEAD) ? "" : why.getMessage();
     head = null;
     skipping = true;
-    skipSince = System.nanoTime();
+    skipSince = now();
     skipped = 0;
     write(why.status, text.getBytes(StandardCharsets.UTF_8), "text/plain", why.retryAfterNanos);
     penalty = why.status < 500;
@@ -441,7 +442,7 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     boolean takes = context.channel().isWritable();
-    stuckSince = takes ? 0 : System.nanoTime();
+    stuckSince = takes ? 0 : now();
     read();
     if (answer != null) {
       answer.flow(takes);
@@ -516,7 +517,7 @@
     waiting = null;
     leaveLane();
     partSince = 0;
-    answeredAt = System.nanoTime();
+    answeredAt = now();
     if (upload != null && !skipping) {
       // What is left of the request is read, or the client would write into a closed socket and never see its answer.
       skipping = true;
@@ -558,6 +559,10 @@
     over(ctx.writeAndFlush(response));
   }
 
+  private long now() {
+    return side.clock().now();
+  }
+
   private void leaveLane() {
     Lane left = lane;
     lane = null;
--- a/src/main/java/pumicekeel/front/http/ClientLimits.java
+++ b/src/main/java/pumicekeel/front/http/ClientLimits.java
@@ -54,7 +54,7 @@
       looks.cancel(false);
       return;
     }
-    long now = System.nanoTime();
+    long now = side.clock().now();
     for (ClientHandler c : side.connections()) {
       if (c.stuckFor(now) > STUCK_NANOS || c.skippingFor(now) > (c.uploads() ? PIECE_NANOS : SKIP_NANOS)) {
         c.abort();
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -16,6 +16,8 @@
 import java.util.Set;
 import pumicekeel.core.Door;
 import pumicekeel.front.Front;
+import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.Reactor;
 
 /** The listening side: client connections, readiness, and the end of both at a planned stop. */
 public final class ClientSide implements Front {
@@ -33,6 +35,7 @@
   /** One that came so lately has its first request on the way: the front's question whether this balancer is up, too. */
   private static final long NEW_NANOS = 300_000_000L;
 
+  private final Reactor on;
   private final EventLoop loop;
   private final String name;
   private final Door door;
@@ -50,8 +53,9 @@
   private final String warmUpPath;
 
   /** The listener of this name, with at most so many connections; {@code warmUpPath} is answered with 200. */
-  public ClientSide(EventLoop loop, String name, Door door, int most, String warmUpPath) {
-    this.loop = loop;
+  public ClientSide(Reactor on, String name, Door door, int most, String warmUpPath) {
+    this.on = on;
+    loop = on.loop();
     this.name = name;
     this.door = door;
     this.most = most;
@@ -66,7 +70,7 @@
   @Override
   public InetSocketAddress listen(InetSocketAddress at, boolean accepting) throws InterruptedException {
     this.accepting = accepting;
-    return listens(bootstrap().channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
+    return listens(bootstrap().channelFactory(on.sockets()::listening).option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true).bind(at).sync().channel());
   }
 
@@ -124,6 +128,10 @@
     return name;
   }
 
+  Clock clock() {
+    return on.clock();
+  }
+
   Door door() {
     return door;
   }
@@ -219,7 +227,7 @@
   @Override
   public void closeIdle() {
     closing = true;
-    long now = System.nanoTime();
+    long now = clock().now();
     List.copyOf(connections).stream().filter(c -> c.idle() && c.idleFor(now) > JUST_NANOS).forEach(ClientHandler::close);
   }
 
@@ -238,7 +246,7 @@
   @Override
   public void closeUntaken() {
     closing = true;
-    long now = System.nanoTime();
+    long now = clock().now();
     List.copyOf(connections).stream().filter(c -> c.untaken()
         && (!c.idle() || c.idleFor(now) > (c.neverAsked() ? NEW_NANOS : JUST_NANOS))).forEach(ClientHandler::close);
   }
--- a/src/main/java/pumicekeel/front/jsonrpc/CallFuzz.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/CallFuzz.java
@@ -35,6 +35,8 @@
 import pumicekeel.jsonrpc.Message;
 import pumicekeel.jsonrpc.MessageReader;
 import pumicekeel.jsonrpc.Pointer;
+import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.Reactor;
 
 /**
  * Mutated input for the front, without sockets: a seed gives the same inputs, cuts and ends of calls again. Each input has
@@ -125,7 +127,7 @@
         }
         return new Way();
       };
-      RpcSide side = new RpcSide(null, "fuzz", door, 10, new CallSettings(framing, mode, LIMITS, 1 + random.nextInt(4),
+      RpcSide side = new RpcSide(new Reactor(null, new Clock(), null), "fuzz", door, 10, new CallSettings(framing, mode, LIMITS, 1 + random.nextInt(4),
           1_000_000_000L, METHODS), new RequestIds("fuzz", 0));
       RpcClient client = new RpcClient(side, side.settings());
       EmbeddedChannel channel = new EmbeddedChannel(client.decoder(), client);
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcClient.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcClient.java
@@ -64,13 +64,14 @@
   private boolean flushDue;
   private boolean goesOn;
   private int broken;
-  private long busyAt = System.nanoTime();
+  private long busyAt;
   /** When the first byte came of the message that has come in part; 0 where none has. */
   private long partSince;
   private long stuckSince;
 
   RpcClient(RpcSide side, CallSettings settings) {
     this.side = side;
+    busyAt = now();
     this.settings = settings;
     reader = new MessageReader(settings.limits());
     decoder = new FrameDecoder(settings.framing(), settings.limits(), this::takesMore);
@@ -80,6 +81,10 @@
     return decoder;
   }
 
+  private long now() {
+    return side.clock().now();
+  }
+
   RpcSide side() {
     return side;
   }
@@ -112,7 +117,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
     partSince = 0;
-    busyAt = System.nanoTime();
+    busyAt = now();
     if (frame instanceof Frame.Fault fault) {
       endWith(fault.code(), fault.why());
       return;
@@ -185,7 +190,7 @@
       open.put(call.id(), next);
     }
     try {
-      next.prepare(System.nanoTime());
+      next.prepare(now());
       return next;
     } catch (TurnedAway e) {
       next.turnAway(e);
@@ -212,7 +217,7 @@
       answers.ended(reply, how, 0);
       // Sent with the rest once the whole batch has been looked at.
     } else if (reply != null) {
-      write(reply.at(System.nanoTime()));
+      write(reply.at(now()));
     }
   }
 
@@ -221,7 +226,7 @@
   /** A call has ended; {@code reply} is null for a notification. */
   void ended(RpcCall call, Reply reply, How how, long waitUntil) {
     calls.remove(call);
-    busyAt = System.nanoTime();
+    busyAt = now();
     if (call.batch() == null) {
       if (reply != null) {
         forget(call.id());
@@ -248,7 +253,7 @@
   }
 
   private void flush(BatchAnswers<Reply> batch) {
-    long now = System.nanoTime();
+    long now = now();
     List<Reply> out = batch.take(now);
     if (!out.isEmpty()) {
       List<byte[]> messages = new ArrayList<>(out.size());
@@ -312,7 +317,7 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    stuckSince = context.channel().isWritable() ? 0 : System.nanoTime();
+    stuckSince = context.channel().isWritable() ? 0 : now();
     goOnLater();
   }
 
@@ -322,7 +327,7 @@
   public void channelReadComplete(ChannelHandlerContext context) {
     boolean takes = takesMore();
     if (decoder.holdsBytes() && takes) {
-      partSince = partSince == 0 ? System.nanoTime() : partSince;
+      partSince = partSince == 0 ? now() : partSince;
     } else {
       partSince = 0;
     }
@@ -385,7 +390,7 @@
   }
 
   private void closeWhenQuiet() {
-    long quiet = System.nanoTime() - busyAt;
+    long quiet = now() - busyAt;
     long wait = TimeUnit.MILLISECONDS.toNanos(QUIET_MILLIS) - quiet;
     if (wait <= 0) {
       finish();
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,6 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import pumicekeel.core.Door;
 import pumicekeel.front.Front;
+import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.Reactor;
 
 /** A listener for JSON-RPC over TCP: its connections, their time limits, and its end. */
 public final class RpcSide implements Front {
@@ -34,6 +35,7 @@
   /** A client that does not take its answers for so long does not want them. */
   static final long STUCK_NANOS = 5_000 * MILLI;
 
+  private final Reactor on;
   private final EventLoop loop;
   private final String name;
   private final Door door;
@@ -47,8 +49,9 @@
   private boolean draining;
 
   /** The listener of this name, with at most so many connections. */
-  public RpcSide(EventLoop loop, String name, Door door, int most, CallSettings settings, RequestIds ids) {
-    this.loop = loop;
+  public RpcSide(Reactor on, String name, Door door, int most, CallSettings settings, RequestIds ids) {
+    this.on = on;
+    loop = on.loop();
     this.name = name;
     this.door = door;
     this.most = most;
@@ -58,7 +61,7 @@
 
   @Override
   public InetSocketAddress listen(InetSocketAddress at, boolean accepting) throws InterruptedException {
-    listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+    listener = new ServerBootstrap().group(loop, loop).channelFactory(on.sockets()::listening)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.AUTO_READ, accepting)
@@ -94,6 +97,10 @@
     return name;
   }
 
+  Clock clock() {
+    return on.clock();
+  }
+
   Door door() {
     return door;
   }
@@ -129,7 +136,7 @@
   private void opened(RpcClient client) {
     connections.add(client);
     if (connections.size() >= most) {
-      long now = System.nanoTime();
+      long now = clock().now();
       connections.stream().filter(c -> c != client && c.mayGiveWay(now)).findFirst()
           .ifPresentOrElse(RpcClient::finish, () -> listener.config().setAutoRead(false));
     }
@@ -154,7 +161,7 @@
       looks.cancel(false);
       return;
     }
-    long now = System.nanoTime();
+    long now = clock().now();
     List.copyOf(connections).forEach(c -> c.look(now));
     if (connections.size() >= most) {
       connections.stream().filter(c -> c.mayGiveWay(now)).findFirst().ifPresent(RpcClient::finish);
--- a/src/main/java/pumicekeel/node/Listeners.java
+++ b/src/main/java/pumicekeel/node/Listeners.java
@@ -15,6 +15,7 @@
 import pumicekeel.front.jsonrpc.RequestIds;
 import pumicekeel.front.jsonrpc.RpcSide;
 import pumicekeel.runtime.Log;
+import pumicekeel.runtime.Reactor;
 
 /** The listening sides of a node: the platform's, which stays, and those that generations bring and take away. */
 final class Listeners {
@@ -26,6 +27,7 @@
 
   private record Side(Operator.Listener spec, Front side) {}
 
+  private final Reactor on;
   private final EventLoop loop;
   private final Door door;
   private final ClientSide platform;
@@ -34,12 +36,13 @@
   private final Map<String, Side> sides = new LinkedHashMap<>();
   private final List<Front> leaving = new ArrayList<>();
 
-  Listeners(EventLoop loop, Door door, int total, String warmUpPath, RequestIds ids) {
+  Listeners(Reactor on, Door door, int total, String warmUpPath, RequestIds ids) {
     this.ids = ids;
-    this.loop = loop;
+    this.on = on;
+    loop = on.loop();
     this.door = door;
     this.total = total;
-    platform = new ClientSide(loop, Operator.PLATFORM, door, total, warmUpPath);
+    platform = new ClientSide(on, Operator.PLATFORM, door, total, warmUpPath);
   }
 
   ClientSide platform() {
@@ -77,8 +80,8 @@
       if (now != null && now.spec().address().equals(l.address()) && (now.spec().rpc() == null) == (l.rpc() == null)) {
         continue;
       }
-      Front side = l.rpc() == null ? new ClientSide(loop, l.name(), door, most, null)
-          : new RpcSide(loop, l.name(), door, most, l.rpc(), ids);
+      Front side = l.rpc() == null ? new ClientSide(on, l.name(), door, most, null)
+          : new RpcSide(on, l.name(), door, most, l.rpc(), ids);
       try {
         side.listen(l.address(), false);
       } catch (Exception e) {
@@ -129,14 +132,14 @@
     side.drain();
     side.stopListening();
     leaving.add(side);
-    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LEAVING_MILLIS);
+    long end = on.clock().now() + TimeUnit.MILLISECONDS.toNanos(LEAVING_MILLIS);
     close(side, end);
   }
 
   /** Each answer is its connection's last; what is idle goes at once, what has begun to come in a little later. */
   private void close(Front side, long end) {
     side.closeIdle();
-    if (System.nanoTime() - end >= 0) {
+    if (on.clock().now() - end >= 0) {
       side.closeUntaken();
     }
     if (side.open() == 0) {
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -1,8 +1,6 @@
 package pumicekeel.node;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -30,6 +28,7 @@
 import pumicekeel.peers.PeerLink;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
+import pumicekeel.runtime.Reactor;
 
 /** One real balancer: the module on sockets, all of it on one event-loop thread. */
 public final class Node {
@@ -47,9 +46,11 @@
   /** The period of the looks at clients that are sent away. */
   private static final long AWAY_MILLIS = 20;
 
-  private final EventLoop loop =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-  private final LoopLag lag = new LoopLag(loop);
+  private final Reactor on;
+  private final EventLoop loop;
+  private final LoopLag lag;
+  /** Whether made-up requests run through it before it says that it is up. */
+  private final boolean warmsUp;
   /** Replaced on the loop; read by the thread that reloads as well. */
   private volatile Configuration configuration;
   private final Runnable crash;
@@ -77,15 +78,24 @@
 
   /** Makes a balancer with the pools of an operator file; without one where {@code operator} is null. */
   public Node(Configuration configuration, Operator operator, Runnable crash) {
+    this(Reactor.start(), configuration, operator, crash, true);
+  }
+
+  /** Makes a balancer on a loop, a clock and channels from outside. */
+  public Node(Reactor on, Configuration configuration, Operator operator, Runnable crash, boolean warmsUp) {
+    this.on = on;
+    loop = on.loop();
+    lag = new LoopLag(on);
+    this.warmsUp = warmsUp;
     this.configuration = configuration;
     this.crash = crash;
-    services = operator == null ? null : new Services(configuration, operator, loop, lag, this::defect);
-    serving = services == null ? new OnePool(configuration, loop, lag, this::defect) : services;
+    services = operator == null ? null : new Services(configuration, operator, on, lag, this::defect);
+    serving = services == null ? new OnePool(configuration, on, lag, this::defect) : services;
     firstGeneration = operator;
     OperatorCalls calls = new OperatorCalls(rotation, this::rotate, () -> peers == null ? null : peers.view());
-    admin = new AdminSide(loop, line -> calls.answer(line, System.nanoTime()));
-    listeners = new Listeners(loop, serving.door(), services == null ? Rooms.clientSockets(configuration)
-        : services.rooms().clientSockets(), warmUpPath, new RequestIds(configuration.name(), System.currentTimeMillis()));
+    admin = new AdminSide(loop, line -> calls.answer(line, on.clock().now()));
+    listeners = new Listeners(on, serving.door(), services == null ? Rooms.clientSockets(configuration)
+        : services.rooms().clientSockets(), warmUpPath, new RequestIds(configuration.name(), on.clock().millis()));
   }
 
   /**
@@ -136,7 +146,7 @@
     openJournal();
     openPeers();
     Map<String, Front> bound = firstGeneration == null ? Map.of() : listeners.bind(firstGeneration);
-    ClientSide own = configuration.inherited() ? new ClientSide(loop, "warm-up", serving.door(), WARM_UP_SOCKETS, warmUpPath)
+    ClientSide own = configuration.inherited() ? new ClientSide(on, "warm-up", serving.door(), WARM_UP_SOCKETS, warmUpPath)
         : null;
     InetSocketAddress address = own == null ? listeners.platform().listen(configuration.listen())
         : listeners.platform().adopt(inheritedSocket());
@@ -148,21 +158,28 @@
         listeners.apply(firstGeneration, bound, false);
         Log.line("serves the pools " + services.summary());
       }
-      WarmUp.run(loop, lag, self, warmUpPath, configuration.settings(), () -> {
-        if (own != null) {
-          own.stopListening();
-          own.closeIdle();
-        }
-        listeners.setReady();
-        serves = true;
-        rotation.started();
-        Log.line(configuration.name() + " serves at " + address);
-        ready.countDown();
-      });
+      Runnable then = () -> serve(own, address);
+      if (warmsUp) {
+        WarmUp.run(on, lag, self, warmUpPath, configuration.settings(), then);
+      } else {
+        then.run();
+      }
     });
     return address;
   }
 
+  private void serve(ClientSide own, InetSocketAddress address) {
+    if (own != null) {
+      own.stopListening();
+      own.closeIdle();
+    }
+    listeners.setReady();
+    serves = true;
+    rotation.started();
+    Log.line(configuration.name() + " serves at " + address);
+    ready.countDown();
+  }
+
   private static ServerSocketChannel inheritedSocket() throws IOException {
     if (System.inheritedChannel() instanceof ServerSocketChannel socket) {
       return socket;
@@ -320,7 +337,7 @@
     if (draining) {
       return;
     }
-    if (rotation.step(System.nanoTime()) == Rotation.Step.TAKING) {
+    if (rotation.step(on.clock().now()) == Rotation.Step.TAKING) {
       listeners.resume();
       Log.line(configuration.name() + " takes clients");
       return;
@@ -333,7 +350,7 @@
   }
 
   private void sendAway() {
-    Rotation.Step step = rotation.step(System.nanoTime());
+    Rotation.Step step = rotation.step(on.clock().now());
     rotating = step != Rotation.Step.TAKING && !draining;
     if (!rotating) {
       return;
@@ -378,6 +395,11 @@
     }
   }
 
+  /** Whether a planned stop has come to its end. */
+  public boolean hasDrained() {
+    return drained.getCount() == 0;
+  }
+
   public void awaitDrained() {
     try {
       drained.await();
--- a/src/main/java/pumicekeel/node/OnePool.java
+++ b/src/main/java/pumicekeel/node/OnePool.java
@@ -1,6 +1,5 @@
 package pumicekeel.node;
 
-import io.netty.channel.EventLoop;
 import java.util.function.Consumer;
 import pumicekeel.AdaptiveBalancer;
 import pumicekeel.config.Configuration;
@@ -8,8 +7,8 @@
 import pumicekeel.core.Door;
 import pumicekeel.core.OneDoor;
 import pumicekeel.discovery.Discovery;
-import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.http.ConnectionPool;
 
 /** A node without an operator file: one module, one list, one pool of connections. */
@@ -20,14 +19,14 @@
   private final Discovery discovery;
   private final Door door;
 
-  OnePool(Configuration configuration, EventLoop loop, LoopLag lag, Consumer<RuntimeException> defect) {
+  OnePool(Configuration configuration, Reactor on, LoopLag lag, Consumer<RuntimeException> defect) {
     this.configuration = configuration;
     var settings = configuration.settings();
-    ConnectionPool connections = new ConnectionPool(loop, settings.limits().connectTimeoutNanos(),
+    ConnectionPool connections = new ConnectionPool(on, settings.limits().connectTimeoutNanos(),
         settings.limits().connectionIdleNanos(), Rooms.upstreamSockets(configuration));
-    core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), new Clock(), loop, lag,
+    core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), on.clock(), on.loop(), lag,
         connections, defect);
-    discovery = new Discovery(loop, configuration.discovery(), configuration.known().index(),
+    discovery = new Discovery(on, configuration.discovery(), configuration.known().index(),
         Discovery.SILENCE_MILLIS, core::news, core::watchFailed);
     door = new OneDoor(core);
   }
--- a/src/main/java/pumicekeel/node/ServicePool.java
+++ b/src/main/java/pumicekeel/node/ServicePool.java
@@ -1,6 +1,5 @@
 package pumicekeel.node;
 
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -25,8 +24,8 @@
 import pumicekeel.pool.RoomPlan;
 import pumicekeel.pool.SharedUpstreams;
 import pumicekeel.pool.Shares;
-import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.UpstreamLinks;
 import pumicekeel.upstream.http.ConnectionPool;
 import pumicekeel.upstream.jsonrpc.RpcLinks;
@@ -42,7 +41,7 @@
   private static final int MOST_WAITING = 1 << 16;
 
   /** What all pools of a process share. */
-  record Shared(EventLoop loop, LoopLag lag, Clock clock, UpstreamSockets sockets, Shares open, Shares body,
+  record Shared(Reactor on, LoopLag lag, UpstreamSockets sockets, Shares open, Shares body,
       FairTurns turns, SharedUpstreams<InetSocketAddress> upstreams, Consumer<RuntimeException> defect) {}
 
   private Operator.Pool spec;
@@ -69,16 +68,16 @@
     body = shared.body().add(0, 0);
     turn = shared.turns().lane(MOST_WAITING);
     connections = links(spec, settings, shared);
-    core = new BalancerCore(settings, new AdaptiveBalancer(settings, seed), shared.clock(), shared.loop(),
+    core = new BalancerCore(settings, new AdaptiveBalancer(settings, seed), shared.on().clock(), shared.on().loop(),
         shared.lag(), connections, shared.defect());
   }
 
   private static UpstreamLinks links(Operator.Pool spec, Settings settings, Shared shared) {
     var limits = settings.limits();
     return spec.rpc() == null
-        ? new ConnectionPool(shared.loop(), limits.connectTimeoutNanos(), limits.connectionIdleNanos(),
+        ? new ConnectionPool(shared.on(), limits.connectTimeoutNanos(), limits.connectionIdleNanos(),
             shared.sockets(), 0, 0)
-        : new RpcLinks(shared.loop(), limits.connectTimeoutNanos(), limits.connectionIdleNanos(), shared.sockets(),
+        : new RpcLinks(shared.on(), limits.connectTimeoutNanos(), limits.connectionIdleNanos(), shared.sockets(),
             spec.rpc());
   }
 
--- a/src/main/java/pumicekeel/node/Services.java
+++ b/src/main/java/pumicekeel/node/Services.java
@@ -36,6 +36,7 @@
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.UpstreamSockets;
 
 /**
@@ -51,8 +52,9 @@
   private static final long RETIRED_MILLIS = 20;
 
   private volatile Configuration configuration;
+  private final Reactor on;
   private final EventLoop loop;
-  private final Clock clock = new Clock();
+  private final Clock clock;
   private final Rooms rooms;
   private final Operator.Process process;
   private final ServicePool.Shared shared;
@@ -76,14 +78,16 @@
   private long made;
 
   /** Checks the first generation against the platform's figures; an IllegalArgumentException says what does not fit. */
-  Services(Configuration configuration, Operator operator, EventLoop loop, LoopLag lag,
+  Services(Configuration configuration, Operator operator, Reactor on, LoopLag lag,
       Consumer<RuntimeException> defect) {
     this.configuration = configuration;
-    this.loop = loop;
+    this.on = on;
+    loop = on.loop();
+    clock = on.clock();
     process = operator.process();
     platformDiscovery = configuration.discovery();
     rooms = Rooms.of(configuration, process);
-    shared = new ServicePool.Shared(loop, lag, clock, new UpstreamSockets(rooms.upstreamSockets()),
+    shared = new ServicePool.Shared(on, lag, new UpstreamSockets(rooms.upstreamSockets()),
         new Shares(rooms.openRequests()), new Shares(rooms.bodyBytes()), turns, new SharedUpstreams<>(), defect);
     check(operator);
     this.operator = operator;
@@ -334,8 +338,8 @@
       return UpstreamSource.fixed(fixed.hosts());
     }
     return spec instanceof Operator.Watched watched
-        ? UpstreamSource.watched(loop, watched.address(), new HostList(0, true, List.of()))
-        : UpstreamSource.watched(loop, platformDiscovery, configuration.known());
+        ? UpstreamSource.watched(on, watched.address(), new HostList(0, true, List.of()))
+        : UpstreamSource.watched(on, platformDiscovery, configuration.known());
   }
 
   private void retire(ServicePool pool) {
@@ -478,7 +482,7 @@
 
   /** By a timer, not a task: tasks are run one after the other, and the sockets would not be read between them. */
   private void turn() {
-    turns.run(QUANTUM_NANOS, System::nanoTime);
+    turns.run(QUANTUM_NANOS, clock::now);
     turning = !turns.idle();
     if (turning) {
       loop.schedule(this::turn, 1, TimeUnit.NANOSECONDS);
--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -28,6 +28,7 @@
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.http.ConnectionPool;
 
 /**
@@ -46,19 +47,19 @@
 
   private final EventLoop loop;
   private final String path;
-  private final Clock clock = new Clock();
+  private final Clock clock;
   private final ConnectionPool pool;
   private final BalancerCore core;
   private final ClientSide side;
   private final Runnable done;
-  private final long endAt = clock.now() + LONGEST_NANOS;
+  private final long endAt;
   private final List<Tenant> tenants;
   private final List<EmbeddedChannel> clients = new ArrayList<>();
   private int sent;
 
   /** Runs on the loop and calls {@code done} there, after so many requests or so long. */
-  public static void run(EventLoop loop, LoopLag lag, InetSocketAddress self, String path, Settings settings, Runnable done) {
-    new WarmUp(loop, lag, path, settings, done).start(self);
+  public static void run(Reactor on, LoopLag lag, InetSocketAddress self, String path, Settings settings, Runnable done) {
+    new WarmUp(on, lag, path, settings, done).start(self);
   }
 
   /** A path that no client can guess: only this process's warm-up is answered without having asked for a class. */
@@ -66,8 +67,10 @@
     return "/" + UUID.randomUUID();
   }
 
-  private WarmUp(EventLoop loop, LoopLag lag, String path, Settings real, Runnable done) {
-    this.loop = loop;
+  private WarmUp(Reactor on, LoopLag lag, String path, Settings real, Runnable done) {
+    loop = on.loop();
+    clock = on.clock();
+    endAt = clock.now() + LONGEST_NANOS;
     this.path = path;
     this.done = done;
     RequestClass type = new RequestClass(path.substring(1), Effect.SAFE, DedupScope.ALL, SECOND, SECOND, 0,
@@ -75,10 +78,10 @@
     Settings settings = new Settings(0, 1, real.zone(), List.of(type), real.tenants(), real.limits(),
         real.contract(), real.prices(), false, real.weightKind(), real.overShareWorth(), real.warmKeys(),
         real.tickNanos());
-    pool = new ConnectionPool(loop, SECOND, SECOND, AT_ONCE);
+    pool = new ConnectionPool(on, SECOND, SECOND, AT_ONCE);
     core = new BalancerCore(settings, new AdaptiveBalancer(settings, 0), clock, loop, lag, pool,
         e -> Log.line("defect of the module while warming up: " + e));
-    side = new ClientSide(loop, "warm-up", new OneDoor(core), AT_ONCE, null);
+    side = new ClientSide(on, "warm-up", new OneDoor(core), AT_ONCE, null);
     tenants = real.tenants();
   }
 
--- a/src/main/java/pumicekeel/runtime/Clock.java
+++ b/src/main/java/pumicekeel/runtime/Clock.java
@@ -1,14 +1,33 @@
 package pumicekeel.runtime;
 
+import java.util.function.LongSupplier;
+
 /**
  * The balancer's clock: Unix time in nanoseconds that never goes back. The list gives start times in Unix time and 0
  * for "long ago", so the module's clock has to have the same origin.
  */
 public final class Clock {
 
-  private final long origin = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
+  private final LongSupplier ticks;
+  private final long origin;
+
+  /** The system's time. */
+  public Clock() {
+    this(System::nanoTime, System.currentTimeMillis());
+  }
+
+  /** Time by these nanoseconds, which never go back; it is now so many milliseconds of Unix time. */
+  public Clock(LongSupplier ticks, long unixMillis) {
+    this.ticks = ticks;
+    origin = unixMillis * 1_000_000L - ticks.getAsLong();
+  }
 
   public long now() {
-    return origin + System.nanoTime();
+    return origin + ticks.getAsLong();
+  }
+
+  /** Unix time in whole milliseconds. */
+  public long millis() {
+    return now() / 1_000_000L;
   }
 }
--- a/src/main/java/pumicekeel/runtime/LoopLag.java
+++ b/src/main/java/pumicekeel/runtime/LoopLag.java
@@ -17,26 +17,28 @@
   private static final int WAIT_PART = 2;
 
   private final EventLoop loop;
+  private final Clock clock;
   private long due;
   private long late;
 
-  public LoopLag(EventLoop loop) {
-    this.loop = loop;
+  public LoopLag(Reactor on) {
+    loop = on.loop();
+    clock = on.clock();
     loop.execute(this::next);
   }
 
   private void next() {
-    due = System.nanoTime() + PERIOD_NANOS;
+    due = clock.now() + PERIOD_NANOS;
     loop.schedule(this::tick, PERIOD_NANOS, TimeUnit.NANOSECONDS);
   }
 
   private void tick() {
-    late = Math.max(0, System.nanoTime() - due);
+    late = Math.max(0, clock.now() - due);
     next();
   }
 
   /** How long what is read now has waited in its socket, on average; only for the loop's own thread. */
   public long waitNanos() {
-    return Math.max(late, System.nanoTime() - due) / WAIT_PART;
+    return Math.max(late, clock.now() - due) / WAIT_PART;
   }
 }
--- /dev/null
+++ b/src/main/java/pumicekeel/runtime/Reactor.java
@@ -0,0 +1,19 @@
+package pumicekeel.runtime;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/** What the serving code runs on: one event loop, its time, and the channels that it opens. All three come from outside. */
+public record Reactor(EventLoop loop, Clock clock, Sockets sockets) {
+
+  /** A loop of the system's sockets, with a thread of its own and the system's time. */
+  public static Reactor start() {
+    return of(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next());
+  }
+
+  /** A loop of the system's sockets that runs already. */
+  public static Reactor of(EventLoop loop) {
+    return new Reactor(loop, new Clock(), new NioSockets());
+  }
+}
--- a/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
+++ b/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
@@ -16,9 +15,9 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import pumicekeel.pool.Shares;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.SocketUser;
 import pumicekeel.upstream.UpstreamLinks;
-import pumicekeel.upstream.UpstreamSocket;
 import pumicekeel.upstream.UpstreamSockets;
 
 /** Connections to all upstreams: opens them, keeps them few and closes those that have stood idle. */
@@ -35,6 +34,7 @@
   private static final int READ_MOST = 16 << 10;
   private static final int READS_IN_A_ROW = 4;
 
+  private final Reactor on;
   private final Bootstrap bootstrap;
   private final UpstreamSockets sockets;
   private final Shares.Owner share;
@@ -44,30 +44,31 @@
   private final Future<?> sweep;
 
   /** Connections with a room of their own. */
-  public ConnectionPool(EventLoop loop, long connectTimeoutNanos, long idleNanos, int most) {
-    this(loop, connectTimeoutNanos, idleNanos, new UpstreamSockets(most), 0, most);
+  public ConnectionPool(Reactor on, long connectTimeoutNanos, long idleNanos, int most) {
+    this(on, connectTimeoutNanos, idleNanos, new UpstreamSockets(most), 0, most);
   }
 
   /** Connections that share a room; so many of it are guaranteed to them, and they get so many at most. */
-  public ConnectionPool(EventLoop loop, long connectTimeoutNanos, long idleNanos, UpstreamSockets sockets,
+  public ConnectionPool(Reactor on, long connectTimeoutNanos, long idleNanos, UpstreamSockets sockets,
       long guaranteed, long most) {
+    this.on = on;
     this.sockets = sockets;
     share = sockets.shares().add(guaranteed, most);
     sockets.add(this);
     this.idleNanos = (long) (idleNanos * IDLE_PART);
-    bootstrap = new Bootstrap().group(loop).channelFactory(UpstreamSocket::new)
+    bootstrap = new Bootstrap().group(on.loop()).channelFactory(on.sockets()::connecting)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNSENT_LOW, UNSENT_HIGH))
         .option(ChannelOption.RECVBUF_ALLOCATOR,
             new AdaptiveRecvByteBufAllocator(READ_LEAST, READ_FIRST, READ_MOST).maxMessagesPerRead(READS_IN_A_ROW))
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
     long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
-    sweep = loop.scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
+    sweep = on.loop().scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
   }
 
   @Override
   public UpstreamPool of(InetSocketAddress address) {
-    UpstreamPool pool = new UpstreamPool(this, address);
+    UpstreamPool pool = new UpstreamPool(this, address, on);
     pools.add(pool);
     return pool;
   }
@@ -81,7 +82,7 @@
       @Override
       protected void initChannel(Channel channel) {
         AnswerDecoder decoder = new AnswerDecoder();
-        UpstreamConnection connection = new UpstreamConnection(pool, (UpstreamSocket) channel, decoder);
+        UpstreamConnection connection = new UpstreamConnection(pool, on, channel, decoder);
         decoder.reader(connection::accepts);
         channel.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
       }
@@ -131,7 +132,7 @@
   }
 
   private void closeOld() {
-    long before = System.nanoTime() - idleNanos;
+    long before = on.clock().now() - idleNanos;
     pools.forEach(p -> p.closeOlderThan(before));
   }
 
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -27,8 +28,8 @@
 import pumicekeel.call.BodySink;
 import pumicekeel.call.Upload;
 import pumicekeel.runtime.Log;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.UpstreamAttempt;
-import pumicekeel.upstream.UpstreamSocket;
 
 /**
  * A connection to an upstream: sends one attempt at a time and reads how it ended. Only once a read is over with
@@ -47,7 +48,8 @@
   private static final int SMALL = 8 << 10;
 
   private final UpstreamPool pool;
-  private final UpstreamSocket channel;
+  private final Reactor reactor;
+  private final Channel channel;
   private final AnswerDecoder decoder;
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private UpstreamAttempt attempt;
@@ -67,15 +69,16 @@
   private boolean surplus;
   public long idleSince;
 
-  public UpstreamConnection(UpstreamPool pool, UpstreamSocket channel, AnswerDecoder decoder) {
+  public UpstreamConnection(UpstreamPool pool, Reactor on, Channel channel, AnswerDecoder decoder) {
     this.pool = pool;
+    reactor = on;
     this.channel = channel;
     this.decoder = decoder;
   }
 
   /** False where the peer has closed, or has sent what nobody asked for. */
   public boolean usable() {
-    return channel.quiet();
+    return reactor.sockets().quiet(channel);
   }
 
   /** Nothing has come since the last request was written. */
@@ -147,7 +150,7 @@
   /** The client of an answer that is passed on takes more, or does not. */
   private void flow(boolean on) {
     held = !on;
-    heardAt = System.nanoTime();
+    heardAt = reactor.clock().now();
     channel.config().setAutoRead(on);
   }
 
@@ -195,7 +198,7 @@
       noise |= bytes.getByte(bytes.readerIndex() + i) != START[(int) heard + i];
     }
     heard += bytes.readableBytes();
-    heardAt = System.nanoTime();
+    heardAt = reactor.clock().now();
     surplus = noise;
     return !noise;
   }
@@ -260,7 +263,7 @@
     } else if (surplus) {
       broken();
     } else if (begun()) {
-      long now = System.nanoTime();
+      long now = reactor.clock().now();
       begunAt = begunAt == 0 ? now : begunAt;
       if (sink == null && now - begunAt > KEPT_NANOS && response != null && !interim()) {
         // Where its client takes whole answers only, it is kept on.
@@ -274,7 +277,7 @@
 
   /** Ends an answer of which nothing comes any more; one whose client takes nothing is waited for by its front. */
   private void look(ChannelHandlerContext ctx) {
-    long quiet = System.nanoTime() - heardAt;
+    long quiet = reactor.clock().now() - heardAt;
     long most = sink == null ? STALL_NANOS : SILENCE_NANOS;
     if (!held && quiet >= most) {
       broken();
--- a/src/main/java/pumicekeel/upstream/http/UpstreamPool.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamPool.java
@@ -4,6 +4,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
+import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.UpstreamAttempt;
 import pumicekeel.upstream.UpstreamLink;
 
@@ -14,13 +16,16 @@
 public final class UpstreamPool implements UpstreamLink {
 
   private final ConnectionPool all;
+  private final Clock clock;
   private final InetSocketAddress address;
   private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
   private boolean closed;
-  private long heardAt = System.nanoTime();
+  private long heardAt;
 
-  public UpstreamPool(ConnectionPool all, InetSocketAddress address) {
+  public UpstreamPool(ConnectionPool all, InetSocketAddress address, Reactor on) {
     this.all = all;
+    clock = on.clock();
+    heardAt = clock.now();
     this.address = address;
   }
 
@@ -54,7 +59,7 @@
       connection.close();
       return;
     }
-    connection.idleSince = System.nanoTime();
+    connection.idleSince = clock.now();
     idle.addFirst(connection);
   }
 
@@ -65,12 +70,12 @@
 
   /** The upstream has sent something. */
   public void heard() {
-    heardAt = System.nanoTime();
+    heardAt = clock.now();
   }
 
   /** Whether the upstream has sent anything, on any connection, in this time. */
   public boolean heardWithin(long nanos) {
-    return System.nanoTime() - heardAt < nanos;
+    return clock.now() - heardAt < nanos;
   }
 
   public void closeIdle() {
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
@@ -30,7 +30,7 @@
 import pumicekeel.jsonrpc.MessageReader;
 import pumicekeel.jsonrpc.Writer;
 import pumicekeel.runtime.Log;
-import pumicekeel.upstream.UpstreamSocket;
+import pumicekeel.runtime.Reactor;
 
 /**
  * A connection to a JSON-RPC server. Ids are counted up and never used again, so a late answer can't meet another call. As
@@ -51,6 +51,7 @@
   private record Waiting(RpcAttempt attempt, ClientRequest request, BooleanSupplier maySend) {}
 
   private final RpcLink link;
+  private final Reactor on;
   private final ServerSettings settings;
   private final FrameDecoder decoder;
   private final Map<Long, RpcAttempt> open = new HashMap<>();
@@ -63,8 +64,8 @@
   private Channel channel;
   private long lastId;
   private long frames;
-  private long heardAt = System.nanoTime();
-  private long idleSince = System.nanoTime();
+  private long heardAt;
+  private long idleSince;
   private ScheduledFuture<?> stalled;
   private ScheduledFuture<?> stuck;
   private boolean flushDue;
@@ -72,8 +73,11 @@
   private boolean retired;
   private boolean closed;
 
-  RpcConnection(RpcLink link, ServerSettings settings) {
+  RpcConnection(RpcLink link, ServerSettings settings, Reactor on) {
     this.link = link;
+    this.on = on;
+    heardAt = on.clock().now();
+    idleSince = heardAt;
     this.settings = settings;
     decoder = new FrameDecoder(settings.framing(), LIMITS, () -> true);
   }
@@ -128,7 +132,7 @@
     if (channel == null) {
       return true;
     }
-    if (open.isEmpty() && lapsed.isEmpty() && !((UpstreamSocket) channel).quiet()) {
+    if (open.isEmpty() && lapsed.isEmpty() && !on.sockets().quiet(channel)) {
       // Closed by the server, or it says something unasked: not seen yet by the loop.
       close();
       return false;
@@ -268,7 +272,7 @@
     }
     lapsed.add(id);
     becameIdle();
-    if (silentNanos > 0 && System.nanoTime() - heardAt >= silentNanos) {
+    if (silentNanos > 0 && on.clock().now() - heardAt >= silentNanos) {
       retire();
     }
     closeIfRetired();
@@ -276,7 +280,7 @@
 
   private void becameIdle() {
     if (open.isEmpty()) {
-      idleSince = System.nanoTime();
+      idleSince = on.clock().now();
     }
   }
 
@@ -288,7 +292,7 @@
       return;
     }
     frames++;
-    heardAt = System.nanoTime();
+    heardAt = on.clock().now();
     if (!(frame instanceof Frame.Whole whole)) {
       broken("what it says is no message: " + ((Frame.Fault) frame).why());
       return;
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,10 +10,10 @@
 import java.util.concurrent.TimeUnit;
 import pumicekeel.call.ClientRequest;
 import pumicekeel.pool.Shares;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.SocketUser;
 import pumicekeel.upstream.UpstreamLink;
 import pumicekeel.upstream.UpstreamLinks;
-import pumicekeel.upstream.UpstreamSocket;
 import pumicekeel.upstream.UpstreamSockets;
 
 /** Connections to the JSON-RPC servers of one pool, each with many calls out. */
@@ -24,6 +23,7 @@
   private static final double IDLE_PART = 0.7;
   private static final int SWEEPS = 20;
 
+  private final Reactor on;
   private final Bootstrap bootstrap;
   private final UpstreamSockets sockets;
   private final Shares.Owner share;
@@ -34,18 +34,19 @@
   private int perUpstream;
 
   /** Connections that share a room; nothing of it is guaranteed to them yet. */
-  public RpcLinks(EventLoop loop, long connectTimeoutNanos, long idleNanos, UpstreamSockets sockets,
+  public RpcLinks(Reactor on, long connectTimeoutNanos, long idleNanos, UpstreamSockets sockets,
       ServerSettings settings) {
+    this.on = on;
     this.sockets = sockets;
     this.settings = settings;
     this.idleNanos = (long) (idleNanos * IDLE_PART);
     share = sockets.shares().add(0, 0);
     sockets.add(this);
-    bootstrap = new Bootstrap().group(loop).channelFactory(UpstreamSocket::new)
+    bootstrap = new Bootstrap().group(on.loop()).channelFactory(on.sockets()::connecting)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
     long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
-    sweep = loop.scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
+    sweep = on.loop().scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
   }
 
   /** Why a request can't be sent to these servers; null where it can. */
@@ -74,7 +75,7 @@
     if (!sockets.take(this, link.address())) {
       return null;
     }
-    RpcConnection connection = new RpcConnection(link, settings);
+    RpcConnection connection = new RpcConnection(link, settings, on);
     var connecting = bootstrap.clone().handler(connection.pipeline()).connect(link.address());
     connecting.channel().closeFuture().addListener(closed -> sockets.release(this, link.address()));
     connection.connecting(connecting);
@@ -136,7 +137,7 @@
   }
 
   private void closeOld() {
-    long before = System.nanoTime() - idleNanos;
+    long before = on.clock().now() - idleNanos;
     links.forEach(l -> l.closeOlderThan(before));
   }
 }
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -36,6 +36,7 @@
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.LoopLag;
 import pumicekeel.upstream.http.ConnectionPool;
+import pumicekeel.runtime.Reactor;
 
 /** The request table under modules that do what the real one never should. */
 class BalancerCoreTest {
@@ -76,14 +77,14 @@
   private void start(Module module, FakeServer... upstreams) throws Exception {
     Fields f = Fields.parse("configuration", TestNode.json(TestNode.nowhere(), 3, upstreams));
     settings = Decoder.settings(f.nested("settings"));
-    ConnectionPool pool = new ConnectionPool(loop, 5_000_000_000L, 60_000_000_000L, 100);
+    ConnectionPool pool = new ConnectionPool(Reactor.of(loop), 5_000_000_000L, 60_000_000_000L, 100);
     core = new BalancerCore(settings, (now, event, out) -> {
       nested |= handling;
       handling = true;
       events.add(event);
       module.handle(event, out);
       handling = false;
-    }, new Clock(), loop, new LoopLag(loop), pool, defect -> {
+    }, new Clock(), loop, new LoopLag(Reactor.of(loop)), pool, defect -> {
       core.answerAll();
       defects.add(defect);
     });
--- a/src/test/java/pumicekeel/node/ConnectionPoolTest.java
+++ b/src/test/java/pumicekeel/node/ConnectionPoolTest.java
@@ -23,6 +23,7 @@
 import pumicekeel.upstream.http.ConnectionPool;
 import pumicekeel.upstream.UpstreamAttempt;
 import pumicekeel.upstream.http.UpstreamPool;
+import pumicekeel.runtime.Reactor;
 
 /** Limits of the pool, and what a send comes to that is over before its first byte. */
 class ConnectionPoolTest {
@@ -49,7 +50,7 @@
   }
 
   private ConnectionPool pool(long idleNanos, int most) throws Exception {
-    return loop.submit(() -> new ConnectionPool(loop, LONG, idleNanos, most)).get();
+    return loop.submit(() -> new ConnectionPool(Reactor.of(loop), LONG, idleNanos, most)).get();
   }
 
   @Test
--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import pumicekeel.discovery.Discovery;
 import pumicekeel.discovery.HostList;
+import pumicekeel.runtime.Reactor;
 
 /** The watch, against a discovery that splits, falls silent, fails and changes its mind. */
 class DiscoveryTest {
@@ -33,7 +34,7 @@
   }
 
   private Discovery discovery(InetSocketAddress address, long silenceMillis) {
-    Discovery discovery = new Discovery(loop, address, 7, silenceMillis, heard::add,
+    Discovery discovery = new Discovery(Reactor.of(loop), address, 7, silenceMillis, heard::add,
         () -> heard.add("failed"));
     loop.execute(() -> discovery.watch(true));
     return discovery;
--- a/src/test/java/pumicekeel/node/UpstreamTableTest.java
+++ b/src/test/java/pumicekeel/node/UpstreamTableTest.java
@@ -20,13 +20,14 @@
 import pumicekeel.upstream.http.ConnectionPool;
 import pumicekeel.upstream.http.UpstreamPool;
 import pumicekeel.upstream.UpstreamTable;
+import pumicekeel.runtime.Reactor;
 
 /** What is remembered of upstreams that come and go all day. */
 class UpstreamTableTest {
 
   private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final UpstreamTable table =
-      new UpstreamTable(new ConnectionPool(loop, 1_000_000_000L, 60_000_000_000L, 10));
+      new UpstreamTable(new ConnectionPool(Reactor.of(loop), 1_000_000_000L, 60_000_000_000L, 10));
 
   private static HostList.Host host(long id, State state) {
     return new HostList.Host(TestNode.nowhere(), new Listed(id, "a", 1, state, 0, 1));
--- a/src/test/java/pumicekeel/upstream/jsonrpc/RpcConnectionTest.java
+++ b/src/test/java/pumicekeel/upstream/jsonrpc/RpcConnectionTest.java
@@ -35,6 +35,7 @@
 import pumicekeel.upstream.UpstreamAttempt;
 import pumicekeel.upstream.UpstreamLink;
 import pumicekeel.upstream.UpstreamSockets;
+import pumicekeel.runtime.Reactor;
 
 /** Which calls may have run when a connection breaks while it is written to; a plain socket at the other end tells. */
 class RpcConnectionTest {
@@ -53,7 +54,7 @@
 
   private UpstreamLink link(InetSocketAddress address) throws Exception {
     return loop.submit(() -> {
-      RpcLinks links = new RpcLinks(loop, LONG, LONG, new UpstreamSockets(10), settings);
+      RpcLinks links = new RpcLinks(Reactor.of(loop), LONG, LONG, new UpstreamSockets(10), settings);
       links.resize(0, 1, 0);
       return links.of(address);
     }).get();
