--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -172,6 +172,12 @@
     endsAt = clock.now() + nanos;
     table.values().stream().filter(r -> !r.ended && r.deadline > endsAt)
         .forEach(r -> loop.schedule(() -> answerForModule(r), nanos, TimeUnit.NANOSECONDS));
+    loop.schedule(this::cutStreams, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** Answers that are still being passed on have no time limit of the request's; the process can't wait for them longer. */
+  private void cutStreams() {
+    List.copyOf(table.values()).stream().filter(r -> r.streaming != null).forEach(r -> r.streaming.end(Status.CANCELLED, null));
   }
 
   public void clientGone(String id) {
--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -80,6 +80,8 @@
   private boolean lastAnswer;
   private long stuckBytes;
   private final long openedAt;
+  /** What its client may have waited before it was accepted; counts for its first request. */
+  private long waited;
   /** When the last request ended, and when the first byte came of the one that has come in part; 0 for never. */
   private long answeredAt;
   private long partSince;
@@ -91,6 +93,15 @@
     openedAt = now();
   }
 
+  void waited(long nanos) {
+    waited = nanos;
+  }
+
+  /** A request with what is left of its time, of which its client may have spent some in line. */
+  private ClientRequest inTime(ClientRequest request) {
+    return answeredAt == 0 && waited > 0 ? request.withLeft(request.leftNanos() - waited) : request;
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     ctx = context;
@@ -287,7 +298,7 @@
       if (isOwn(request.uri())) {
         throw new ClientRequest.Bad(413, "no body is wanted here");
       }
-      ClientRequest taken = ClientRequest.of(request, new byte[0], upload, lane.settings(), lane.former());
+      ClientRequest taken = inTime(ClientRequest.of(request, new byte[0], upload, lane.settings(), lane.former()));
       head = null;
       waiting = taken.id();
       // Nobody takes more of it before an upstream does.
@@ -414,7 +425,7 @@
       return;
     }
     try {
-      ClientRequest taken = ClientRequest.of(request, body.toByteArray(), null, lane.settings(), lane.former());
+      ClientRequest taken = inTime(ClientRequest.of(request, body.toByteArray(), null, lane.settings(), lane.former()));
       waiting = taken.id();
       if (!lane.take(taken, this)) {
         waiting = null;
--- a/src/main/java/pumicekeel/front/http/ClientLimits.java
+++ b/src/main/java/pumicekeel/front/http/ClientLimits.java
@@ -30,6 +30,8 @@
   private static final double MANY_PART = 0.5;
   /** At the limit, one that has not asked so long after its connect: usual clients ask at once. */
   private static final long SILENT_NANOS = 250 * MILLI;
+  /** At the limit, room is made for the next client within this. */
+  static final long ROOM_NANOS = SILENT_NANOS + LOOK_MILLIS * MILLI;
   /** What is left of a request that was turned away at its head: usual clients have sent it all at once, and one that
    * sends slowly would hold a socket for nothing. */
   private static final long SKIP_NANOS = 250 * MILLI;
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -34,6 +34,8 @@
   private static final long JUST_NANOS = 60_000_000L;
   /** One that came so lately has its first request on the way: the front's question whether this balancer is up, too. */
   private static final long NEW_NANOS = 300_000_000L;
+  /** Once it accepts again, the line that stood is through after so long. */
+  private static final long LINE_NANOS = 5_000_000L;
 
   private final Reactor on;
   private final EventLoop loop;
@@ -51,6 +53,9 @@
   private boolean draining;
   private boolean closing;
   private final String warmUpPath;
+  /** Since when connections may have stood in the kernel's line, at the limit; 0 where none has. */
+  private long lineSince;
+  private long acceptsSince;
 
   /** The listener of this name, with at most so many connections; {@code warmUpPath} is answered with 200. */
   public ClientSide(Reactor on, String name, Door door, int most, String warmUpPath) {
@@ -181,19 +186,39 @@
    */
   private void opened(ClientHandler handler) {
     connections.add(handler);
+    handler.waited(waitedInLine());
     if (connections.size() >= most) {
       connections.stream().filter(c -> c != handler && c.idle() && !c.neverAsked()).findFirst()
-          .ifPresentOrElse(ClientHandler::close, () -> listener.config().setAutoRead(false));
+          .ifPresentOrElse(ClientHandler::close, this::pause);
     }
   }
 
   public void closed(ClientHandler handler) {
     connections.remove(handler);
     if (connections.size() < most && listener != null && listener.isOpen() && accepting) {
+      if (!listener.config().isAutoRead()) {
+        acceptsSince = clock().now();
+      }
       listener.config().setAutoRead(true);
     }
   }
 
+  private void pause() {
+    long now = clock().now();
+    lineSince = lineSince == 0 || acceptsSince != 0 && now - acceptsSince > LINE_NANOS ? now : lineSince;
+    acceptsSince = 0;
+    listener.config().setAutoRead(false);
+  }
+
+  /** How long one that is accepted now may have stood in line unseen, at most; its client's time ran meanwhile. */
+  private long waitedInLine() {
+    long now = clock().now();
+    if (lineSince != 0 && acceptsSince != 0 && now - acceptsSince > LINE_NANOS) {
+      lineSince = 0;
+    }
+    return lineSince == 0 ? 0 : Math.min(now - lineSince, ClientLimits.ROOM_NANOS);
+  }
+
   public void becameIdle(ClientHandler handler) {
     if (connections.remove(handler)) {
       connections.add(handler);
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/Messages.java
@@ -0,0 +1,200 @@
+package pumicekeel.lab.program;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Reads HTTP/1.1 messages off a connection, a byte at a time if need be (RFC 9112). Written apart from the program's own codec on
+ * purpose: what judges an answer must not share its reader's mistakes.
+ */
+final class Messages {
+
+  /** One message that has come whole; names of fields are in lower case. */
+  record Message(String first, Map<String, String> fields, byte[] body) {
+
+    int status() {
+      return Integer.parseInt(first.substring(9, 12));
+    }
+
+    boolean closes() {
+      return "close".equalsIgnoreCase(fields.get("connection"));
+    }
+  }
+
+  /** What is not HTTP. */
+  static final class Malformed extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Malformed(String what) {
+      super(what, null, false, false);
+    }
+  }
+
+  private enum State { HEAD, LENGTH, SIZE, CHUNK, CHUNK_END, TRAILER, TO_THE_END }
+
+  private static final int MOST_HEAD = 64 << 10;
+
+  private final boolean answers;
+  private final Consumer<Message> to;
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private State state = State.HEAD;
+  private String first;
+  private Map<String, String> fields = new HashMap<>();
+  private long left;
+  /** The next answer has no body whatever it says: it is one to HEAD. */
+  private boolean bare;
+
+  Messages(boolean answers, Consumer<Message> to) {
+    this.answers = answers;
+    this.to = to;
+  }
+
+  /** Nothing has come of a message that is not whole. */
+  boolean atRest() {
+    return state == State.HEAD && first == null && line.size() == 0;
+  }
+
+  void expectBare(boolean on) {
+    bare = on;
+  }
+
+  void feed(byte[] bytes, int length) throws Malformed {
+    int at = 0;
+    while (at < length) {
+      if (state == State.LENGTH || state == State.CHUNK || state == State.TO_THE_END) {
+        int n = (int) Math.min(left, length - at);
+        body.write(bytes, at, n);
+        at += n;
+        left -= n;
+        if (left == 0) {
+          pieceOver();
+        }
+      } else {
+        byte next = bytes[at++];
+        line.write(next);
+        if (next == '\n') {
+          String text = line.toString(StandardCharsets.ISO_8859_1);
+          line.reset();
+          if (!text.endsWith("\r\n")) {
+            throw new Malformed("a line without CR");
+          }
+          line(text.substring(0, text.length() - 2));
+        } else if (line.size() > MOST_HEAD) {
+          throw new Malformed("a line without an end");
+        }
+      }
+    }
+  }
+
+  /** The connection has ended: that is the end of a body without a length. */
+  void ended() {
+    if (state == State.TO_THE_END) {
+      over();
+    }
+  }
+
+  private void pieceOver() {
+    if (state == State.LENGTH) {
+      over();
+    } else {
+      state = State.CHUNK_END;
+    }
+  }
+
+  private void line(String text) throws Malformed {
+    switch (state) {
+      case SIZE -> {
+        left = Long.parseLong(text, 16);
+        state = left == 0 ? State.TRAILER : State.CHUNK;
+      }
+      case CHUNK_END -> {
+        if (!text.isEmpty()) {
+          throw new Malformed("a chunk that is longer than it says");
+        }
+        state = State.SIZE;
+      }
+      case TRAILER -> {
+        if (text.isEmpty()) {
+          over();
+        }
+      }
+      default -> head(text);
+    }
+  }
+
+  private void head(String text) throws Malformed {
+    if (first == null) {
+      if (answers && !text.matches("HTTP/1\\.1 [1-5][0-9][0-9].*")) {
+        throw new Malformed("no status line: " + text);
+      }
+      first = text;
+    } else if (text.isEmpty()) {
+      headOver();
+    } else {
+      int colon = text.indexOf(':');
+      if (colon < 1) {
+        throw new Malformed("no field: " + text);
+      }
+      fields.put(text.substring(0, colon).toLowerCase(Locale.ROOT), text.substring(colon + 1).strip());
+    }
+  }
+
+  private void headOver() throws Malformed {
+    if (answers && first.startsWith("HTTP/1.1 1")) {
+      // An interim answer: the final one is still to come (RFC 9110, 15.2).
+      reset();
+      return;
+    }
+    String length = fields.get("content-length");
+    if ("chunked".equals(fields.get("transfer-encoding"))) {
+      state = State.SIZE;
+    } else if (bare || !answers && length == null || "0".equals(length)) {
+      over();
+    } else if (length != null) {
+      left = Long.parseLong(length);
+      state = State.LENGTH;
+    } else {
+      left = Long.MAX_VALUE;
+      state = State.TO_THE_END;
+    }
+  }
+
+  private void over() {
+    Message whole = new Message(first, fields, body.toByteArray());
+    reset();
+    to.accept(whole);
+  }
+
+  private void reset() {
+    state = State.HEAD;
+    first = null;
+    fields = new HashMap<>();
+    body.reset();
+  }
+
+  // ---- Bodies that tell whose they are ------------------------------------------------------------------
+
+  private static final int LETTERS = 26;
+
+  /** A body of about this size that only this name's can be. */
+  static byte[] bodyOf(String name, int size) {
+    byte[] start = (name + "|").getBytes(StandardCharsets.US_ASCII);
+    byte[] all = Arrays.copyOf(start, Math.max(size, start.length));
+    int seed = name.hashCode() & 0xffff;
+    for (int i = start.length; i < all.length; i++) {
+      all[i] = (byte) ('a' + (seed + i) % LETTERS);
+    }
+    return all;
+  }
+
+  /** Whether a body is this name's, whole as far as can be told. */
+  static boolean isOf(String name, byte[] body) {
+    return Arrays.equals(body, bodyOf(name, body.length));
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/ProgramRun.java
@@ -0,0 +1,196 @@
+package pumicekeel.lab.program;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import pumicekeel.Balancer.Contract;
+import pumicekeel.Balancer.DedupScope;
+import pumicekeel.Balancer.Effect;
+import pumicekeel.Balancer.Limits;
+import pumicekeel.Balancer.Prices;
+import pumicekeel.Balancer.RequestClass;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.Balancer.WeightKind;
+import pumicekeel.config.Configuration;
+import pumicekeel.discovery.HostList;
+import pumicekeel.node.Node;
+import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.Log;
+import pumicekeel.runtime.Reactor;
+
+/**
+ * The whole serving program in virtual time: fronts, core, module, upstream connections, discovery and stop as in service, on a loop
+ * and a network that the seed decides, between stand-ins that keep the book. The same script gives the same run to the byte.
+ */
+public final class ProgramRun {
+
+  /** What came of it; {@code breach} is null where all held. {@code sum} differs where anything went otherwise. */
+  public record Report(long seed, String breach, int asked, int served, int refused, long sum, long events, int mostSockets,
+      long mostBytes) {}
+
+  private static final long MS = 1_000_000L;
+  private static final long SECOND = 1_000 * MS;
+  private static final long UNIX_MILLIS = 1_700_000_000_000L;
+  private static final long GRACE = 2 * SECOND;
+  private static final long DEDUP = 2 * SECOND;
+  private static final long WARM = 8 * SECOND;
+  private static final long IDLE = 3 * SECOND;
+  /** SIGKILL comes no sooner after SIGTERM: the longest deadline, and 0.7 s. */
+  private static final long STOP_WITHIN = 2 * SECOND + 700 * MS;
+  /** An upstream that was told to leave is gone after so long. */
+  private static final long LEAVES_WITHIN = 4 * SECOND;
+  /** Connections stand idle at most so long, and limits on clients are shorter. */
+  private static final long SETTLES = 12 * SECOND;
+  /** Buffers that one connection may hold: what is read at once, what is kept of a body each way, and what waits to be written. */
+  private static final long BYTES_EACH = 400 << 10;
+  /** Against what an upstream is usually asked: the budget of a cold one goes by what it can do. */
+  private static final double CAPACITY = 2;
+
+  private final Script script;
+  private final VirtualLoop loop = new VirtualLoop();
+  private final VirtualNetwork network;
+  private final Clock clock = new Clock(loop::now, UNIX_MILLIS);
+  private final Settings settings;
+  private final Book book;
+  private final Map<Integer, RawServer> servers = new HashMap<>();
+  private RawDiscovery discovery;
+  private RawClients clients;
+  private Node node;
+  private long start;
+  private boolean stopped;
+
+  public ProgramRun(long seed) {
+    this(Script.of(seed), null);
+  }
+
+  /** One whose every event is told, a line each. */
+  ProgramRun(Script script, Consumer<String> trace) {
+    this.script = script;
+    network = new VirtualNetwork(loop, script.chance("network"));
+    settings = new Settings(0, 1, "a", List.of(type("look", Effect.SAFE, DedupScope.ALL), type("quote", Effect.KEYED, DedupScope.CELL),
+        type("order", Effect.UNSAFE, DedupScope.ALL)), List.of(), new Limits(true, false, false, true, true, SECOND, 4, 10_000, 1,
+        250 * MS, IDLE), new Contract(8 * MS, 10 * SECOND, GRACE, 0.3, WARM, 3, 3 * SECOND), new Prices(0, 0, 0), true,
+        WeightKind.NONE, 0.2, true, MS);
+    book = new Book(loop, settings.contract(), DEDUP + 2 * MS, trace);
+  }
+
+  private static RequestClass type(String name, Effect effect, DedupScope scope) {
+    return new RequestClass(name, effect, scope, DEDUP, 400 * MS, 0, 2 * SECOND, 1, 0, false);
+  }
+
+  /** Plays it. */
+  public Report play() {
+    Log.to(this::logged);
+    loop.onFailure(e -> book.broken("thrown: " + e + (e.getStackTrace().length == 0 ? "" : " at " + e.getStackTrace()[0])));
+    try {
+      begin();
+      script.steps().forEach(s -> loop.at(start + s.at(), () -> happen(s)));
+      long last = script.steps().stream().mapToLong(Step::at).max().orElse(0);
+      loop.runUntil(start + last + STOP_WITHIN + SECOND);
+      if (stopped && !node.hasDrained()) {
+        book.broken("the balancer did not end within its time");
+      }
+      clients.close();
+      loop.runUntil(loop.now() + SETTLES);
+      end();
+    } catch (IOException | InterruptedException | RuntimeException e) {
+      book.broken("the run ended with " + e + " at " + e.getStackTrace()[0]);
+    } finally {
+      Log.to(null);
+    }
+    return new Report(script.seed(), book.breach(), book.asked(), book.served(), book.refused(), book.sum(), loop.done(),
+        network.mostOpen(), network.mostBytes());
+  }
+
+  private void begin() throws IOException, InterruptedException {
+    discovery = new RawDiscovery(network, book);
+    for (int i = 0; i < script.servers(); i++) {
+      servers.put(i, new RawServer(i, 0, script, network, book));
+      discovery.tell(servers.get(i), "in_service", 0);
+    }
+    Configuration configuration = new Configuration("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        discovery.address(), script.seed(), script.sockets(), new HostList(0, true, List.of()), settings);
+    node = new Node(new Reactor(loop, clock, network), configuration, null, () -> book.broken("the program ended itself"), false);
+    clients = new RawClients(script, network, book, node.start());
+    loop.runUntil(loop.now() + 200 * MS);
+    start = loop.now();
+  }
+
+  private void logged(String line) {
+    book.note("log: " + line, 0);
+    if (line.contains("Exception") && !line.contains("IOException") || line.contains("Error") || line.startsWith("defect")) {
+      book.broken("logged: " + line);
+    }
+  }
+
+  private void happen(Step step) {
+    if (step.kind() != Step.Kind.ASK) {
+      book.note(step.kind().toString(), step.which());
+    }
+    RawServer server = servers.get(step.which());
+    switch (step.kind()) {
+      case ASK -> clients.ask(step.which());
+      case BURST -> clients.burst(step.which());
+      case CROWD -> clients.crowd(script.sockets() / 4 + step.which() * 2, step.nanos());
+      case DRAIN -> drain(server);
+      case FRESH -> fresh();
+      case HANG -> server.hang(step.nanos());
+      case CRASH -> server.crash(step.nanos());
+      case CUT_OFF -> server.cutOff(step.nanos());
+      case FULL -> server.full(step.nanos());
+      case SLOW -> server.slow(step.nanos());
+      case IMPATIENT -> server.impatient();
+      case WATCH_BREAKS -> discovery.breakWatches();
+      case WATCH_SILENT -> discovery.silent(step.nanos());
+      case STOP -> {
+        stopped = true;
+        clients.stopped();
+        node.drain();
+      }
+    }
+  }
+
+  private void drain(RawServer server) {
+    discovery.tell(server, "terminating", 0);
+    loop.at(loop.now() + LEAVES_WITHIN, () -> {
+      discovery.tell(server, "terminated", 0);
+      server.leave();
+    });
+  }
+
+  private void fresh() {
+    try {
+      RawServer server = new RawServer(servers.size(), loop.now(), script, network, book);
+      servers.put(server.number, server);
+      discovery.tell(server, "in_service", clock.millis());
+    } catch (IOException e) {
+      book.broken("the world: " + e.getMessage());
+    }
+  }
+
+  private void end() {
+    servers.values().stream().filter(s -> s.startedAt > 0).forEach(s -> book.judgeCold(s.number, s.startedAt,
+        CAPACITY * script.perSecond() / script.servers()));
+    if (network.mostOpen() > script.sockets()) {
+      book.broken("held " + network.mostOpen() + " sockets of " + script.sockets());
+    }
+    if (network.mostBytes() > script.sockets() * BYTES_EACH) {
+      book.broken("held " + network.mostBytes() + " bytes for " + script.sockets() + " sockets");
+    }
+    String left = network.open().stream().filter(s -> !discovery.address().equals(s.remoteAddress()))
+        .map(s -> s.localAddress() + " to " + s.remoteAddress()).collect(Collectors.joining(", "));
+    if (!left.isEmpty()) {
+      book.broken("connections left behind: " + left);
+    }
+    List.copyOf(network.open()).forEach(s -> s.close());
+    loop.runUntil(loop.now() + SECOND);
+    if (network.bytes() > 0) {
+      book.broken("buffers left behind: " + network.bytes() + " bytes");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/RawServer.java
@@ -0,0 +1,274 @@
+package pumicekeel.lab.program;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import pumicekeel.lab.program.Messages.Message;
+import pumicekeel.lab.world.Chance;
+
+/** A stand-in upstream: runs what comes, and answers as its fate for that request has it. */
+final class RawServer implements VirtualNetwork.Acceptor {
+
+  /** How an answer goes. */
+  private enum Word { OK, ERROR, TURNED_AWAY, RESET, SILENT, CUT, STALLED, TWICE, NOISE, LAST, THEN_ENDS }
+
+  private static final long MS = 1_000_000L;
+  private static final double MEAN_MS = 12;
+  private static final int SLOWER = 10;
+  private static final int USUAL = 85;
+  private static final int SMALL = 900;
+  /** One request in so many meets a reset so soon after its first byte, perhaps before its last. */
+  private static final int BREAKS_IN = 60;
+  private static final int BREAKS_WITHIN = 40_000_000;
+
+  final int number;
+  final int cell;
+  final long startedAt;
+  private final Script script;
+  private final VirtualLoop loop;
+  private final VirtualNetwork network;
+  private final Book book;
+  private final InetSocketAddress address;
+  private final Set<Connection> open = new LinkedHashSet<>();
+  private final Chance chance;
+  private long hangsUntil;
+  private long fullUntil;
+  private long slowUntil;
+  private boolean cut;
+
+  RawServer(int number, long startedAt, Script script, VirtualNetwork network, Book book) throws IOException {
+    this.number = number;
+    this.cell = number / 2;
+    this.startedAt = startedAt;
+    this.script = script;
+    this.network = network;
+    this.book = book;
+    loop = network.loop();
+    chance = script.chance("upstream " + number);
+    address = network.listen(0, this);
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  // ---- Troubles -----------------------------------------------------------------------------------------
+
+  void hang(long nanos) {
+    hangsUntil = Math.max(hangsUntil, loop.now() + nanos);
+  }
+
+  void full(long nanos) {
+    fullUntil = Math.max(fullUntil, loop.now() + nanos);
+  }
+
+  void slow(long nanos) {
+    slowUntil = Math.max(slowUntil, loop.now() + nanos);
+  }
+
+  void crash(long nanos) {
+    network.reach(address, VirtualNetwork.Reach.REFUSES);
+    List.copyOf(open).forEach(Connection::crash);
+    loop.at(loop.now() + nanos, () -> network.reach(address, VirtualNetwork.Reach.OPEN));
+  }
+
+  void cutOff(long nanos) {
+    cut = true;
+    network.reach(address, VirtualNetwork.Reach.SILENT);
+    List.copyOf(open).forEach(c -> c.cut(true));
+    loop.at(loop.now() + nanos, () -> {
+      cut = false;
+      network.reach(address, VirtualNetwork.Reach.OPEN);
+      // Back with none of its connections: what comes on them is reset.
+      List.copyOf(open).forEach(c -> c.cut(false));
+      open.clear();
+    });
+  }
+
+  void impatient() {
+    List.copyOf(open).stream().filter(c -> c.reader.atRest() && c.out.empty() && !c.busy).forEach(c -> c.end.close());
+  }
+
+  /** It is gone for good. */
+  void leave() {
+    network.reach(address, VirtualNetwork.Reach.REFUSES);
+    List.copyOf(open).forEach(Connection::crash);
+  }
+
+  @Override
+  public void accepted(Line.End end) {
+    if (!cut) {
+      Connection c = new Connection(end);
+      open.add(c);
+      end.listener(c);
+    }
+  }
+
+  /** One connection: a request at a time. */
+  private final class Connection implements Line.Listener {
+    private final Line.End end;
+    private final Outgoing out;
+    private final Messages reader = new Messages(false, this::came);
+    private final byte[] buffer = new byte[8 << 10];
+    private boolean busy;
+    private boolean begun;
+
+    private Connection(Line.End end) {
+      this.end = end;
+      out = new Outgoing(end);
+    }
+
+    private void crash() {
+      open.remove(this);
+      spoilAll();
+      out.drop();
+      end.abort();
+    }
+
+    private void cut(boolean on) {
+      spoilAll();
+      out.drop();
+      end.cut(on);
+    }
+
+    private String current;
+
+    private void spoilAll() {
+      if (current != null) {
+        book.spoilt(current);
+      }
+    }
+
+    @Override
+    public void writable() {
+      out.go();
+    }
+
+    @Override
+    public void readable() {
+      while (end.unread() > 0) {
+        if (!begun) {
+          begun = true;
+          book.begins(number);
+          if (chance.below(BREAKS_IN) == 0) {
+            loop.at(loop.now() + chance.below(BREAKS_WITHIN), this::crash);
+          }
+        }
+        int n = end.read(buffer, 0, buffer.length);
+        try {
+          reader.feed(buffer, n);
+        } catch (Messages.Malformed e) {
+          book.nonsense("upstream " + number + " was sent what is not HTTP: " + e.getMessage());
+        }
+      }
+      if (end.reset() || end.over()) {
+        open.remove(this);
+        out.drop();
+        end.close();
+      }
+    }
+
+    private void came(Message request) {
+      begun = false;
+      String id = request.fields().get("x-correlation-id");
+      if (busy) {
+        book.nonsense("upstream " + number + " was sent " + id + " before it had answered");
+        return;
+      }
+      busy = true;
+      current = id;
+      Chance chance = script.chance("run " + id + " " + number);
+      Word word = chance.below(100) < USUAL ? Word.OK : Word.values()[chance.below(Word.values().length)];
+      if (loop.now() < fullUntil) {
+        word = Word.TURNED_AWAY;
+      }
+      if (word != Word.TURNED_AWAY) {
+        book.runs(id, number, cell, request.body());
+      }
+      if (loop.now() < hangsUntil || word == Word.SILENT) {
+        book.spoilt(id);
+        return;
+      }
+      long takes = (long) (MS + chance.exponential() * MEAN_MS * MS * (loop.now() < slowUntil ? SLOWER : 1));
+      Word as = word;
+      loop.at(loop.now() + takes, () -> answer(id, as, chance));
+    }
+
+    private void answer(String id, Word word, Chance chance) {
+      if (!open.contains(this) || cut) {
+        return;
+      }
+      switch (word) {
+        case ERROR -> whole(id, 500, "", "", chance);
+        case TURNED_AWAY -> whole(id, 503, "X-Unprocessed: 1\r\n", "", chance);
+        case RESET -> crash();
+        case CUT, STALLED -> part(id, word, chance);
+        case NOISE -> {
+          book.spoilt(id);
+          out.add("!! no answer at all\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+        case TWICE -> {
+          // All at once: a copy that comes when the connection is in use again can't be told from an answer.
+          byte[] bytes = bytes(id, 200, "", SMALL, chance);
+          byte[] both = Arrays.copyOf(bytes, 2 * bytes.length);
+          System.arraycopy(bytes, 0, both, bytes.length, bytes.length);
+          end.uncut(true);
+          out.add(both);
+          end.uncut(false);
+          rest();
+        }
+        case LAST -> whole(id, 200, "Connection: close\r\n", "", chance);
+        case THEN_ENDS -> {
+          whole(id, 200, "", "", chance);
+          out.then(end::close);
+        }
+        default -> whole(id, 200, "", chance.below(30) == 0 ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" : "", chance);
+      }
+    }
+
+    private void whole(String id, int status, String more, String before, Chance chance) {
+      out.add(before.getBytes(StandardCharsets.US_ASCII));
+      out.add(bytes(id, status, more, size(chance), chance));
+      out.then(this::rest);
+      if (more.startsWith("Connection")) {
+        out.then(end::close);
+      }
+    }
+
+    private void rest() {
+      busy = false;
+      current = null;
+    }
+
+    private void part(String id, Word word, Chance chance) {
+      book.spoilt(id);
+      byte[] bytes = bytes(id, 200, "", size(chance), chance);
+      out.add(Arrays.copyOf(bytes, 1 + chance.below(bytes.length - 1)));
+      if (word == Word.CUT) {
+        out.then(chance.below(2) == 0 ? end::close : this::crash);
+      }
+    }
+
+    private byte[] bytes(String id, int status, String more, int size, Chance chance) {
+      byte[] body = status == 200 ? Messages.bodyOf(id, size) : new byte[0];
+      boolean chunked = chance.below(5) == 0 && body.length > 0;
+      byte[] head = ("HTTP/1.1 " + status + " X\r\n" + more + (chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+          + Integer.toHexString(body.length) + "\r\n" : "Content-Length: " + body.length + "\r\n\r\n"))
+          .getBytes(StandardCharsets.US_ASCII);
+      byte[] tail = (chunked ? "\r\n0\r\n\r\n" : "").getBytes(StandardCharsets.US_ASCII);
+      byte[] all = Arrays.copyOf(head, head.length + body.length + tail.length);
+      System.arraycopy(body, 0, all, head.length, body.length);
+      System.arraycopy(tail, 0, all, head.length + body.length, tail.length);
+      return all;
+    }
+
+    private int size(Chance chance) {
+      int kind = chance.below(40);
+      return kind == 0 ? (64 << 10) + chance.below(200 << 10) : kind < 4 ? (8 << 10) + chance.below(56 << 10) : chance.below(1_500);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/Script.java
@@ -0,0 +1,57 @@
+package pumicekeel.lab.program;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import pumicekeel.lab.program.Step.Kind;
+import pumicekeel.lab.world.Chance;
+
+/**
+ * What happens in a run, all of it drawn from the seed. What a request or an upstream does is drawn from the seed and its number alone,
+ * so steps can be left out and the others stay what they were.
+ */
+record Script(long seed, int servers, int sockets, double perSecond, List<Step> steps) {
+
+  static final long MS = 1_000_000L;
+  static final long SECOND = 1_000 * MS;
+  private static final long LEAST_END = 3 * SECOND;
+  private static final long MOST_END = 6 * SECOND;
+  /** One run in so many goes on without a stop: limits have to end what a stop would. */
+  private static final int STOPS_NOT_IN = 6;
+  private static final Kind[] TROUBLES = {Kind.BURST, Kind.CROWD, Kind.DRAIN, Kind.FRESH, Kind.HANG, Kind.CRASH, Kind.CUT_OFF, Kind.FULL, Kind.SLOW,
+      Kind.IMPATIENT, Kind.WATCH_BREAKS, Kind.WATCH_SILENT, Kind.DRAIN};
+
+  static Script of(long seed) {
+    Chance chance = new Chance(seed, "script");
+    int servers = 2 + chance.below(5);
+    int sockets = 24 + chance.below(200);
+    double rate = chance.between(20, 60);
+    long end = (long) chance.between(LEAST_END, MOST_END);
+    List<Step> steps = new ArrayList<>();
+    int number = 0;
+    for (double at = 0; at < end; at += chance.exponential() * SECOND / rate) {
+      steps.add(new Step((long) at, Kind.ASK, number++, 0));
+    }
+    int troubles = chance.below(6);
+    for (int i = 0; i < troubles; i++) {
+      Kind kind = TROUBLES[chance.below(TROUBLES.length)];
+      int of = chance.below(servers);
+      steps.add(new Step((long) (chance.uniform() * end), kind, kind == Kind.BURST ? i : of,
+          (long) chance.between(100 * MS, 3 * SECOND)));
+    }
+    if (chance.below(STOPS_NOT_IN) > 0) {
+      // Clients go on for a while after the balancer was told to stop, as they do.
+      steps.add(new Step((long) (end * chance.between(0.6, 1)), Kind.STOP, 0, 0));
+    }
+    steps.sort(Comparator.comparingLong(Step::at));
+    return new Script(seed, servers, sockets, rate, List.copyOf(steps));
+  }
+
+  Script with(List<Step> fewer) {
+    return new Script(seed, servers, sockets, perSecond, List.copyOf(fewer));
+  }
+
+  Chance chance(String of) {
+    return new Chance(seed, of);
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/VirtualConfig.java
@@ -0,0 +1,31 @@
+package pumicekeel.lab.program;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.DefaultChannelConfig;
+
+/** The settings of a channel in virtual time: those of TCP itself are taken and mean nothing. */
+final class VirtualConfig extends DefaultChannelConfig {
+
+  private final Runnable readsNoMore;
+
+  VirtualConfig(Channel channel, ByteBufAllocator allocator, Runnable readsNoMore) {
+    super(channel);
+    this.readsNoMore = readsNoMore;
+    setAllocator(allocator);
+  }
+
+  @Override
+  public <T> boolean setOption(ChannelOption<T> option, T value) {
+    super.setOption(option, value);
+    return true;
+  }
+
+  @Override
+  protected void autoReadCleared() {
+    if (readsNoMore != null) {
+      readsNoMore.run();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/VirtualSocket.java
@@ -0,0 +1,269 @@
+package pumicekeel.lab.program;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.AbstractChannel;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelId;
+import io.netty.channel.ChannelMetadata;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.TimeUnit;
+
+/** A connection of the program, as Netty sees one over TCP: reads when asked to, writes what the other side has room for. */
+final class VirtualSocket extends AbstractChannel implements Line.Listener {
+
+  private static final ChannelMetadata METADATA = new ChannelMetadata(false, 16);
+
+  private final VirtualNetwork network;
+  private final VirtualConfig config;
+  private Line.End end;
+  private boolean open = true;
+  private boolean reads;
+  private boolean readDue;
+  private boolean blocked;
+  private ChannelPromise connecting;
+  private ScheduledFuture<?> connectTimeout;
+
+  /** One that was accepted; without an end, one that is to connect. */
+  VirtualSocket(VirtualNetwork network, Channel parent, Line.End end) {
+    super(parent, new VirtualId(network.newId()));
+    this.network = network;
+    this.end = end;
+    config = new VirtualConfig(this, network.allocator(), () -> reads = false);
+    network.opened(this);
+  }
+
+  boolean quiet() {
+    return isActive() && end.quiet();
+  }
+
+  // ---- Reading ------------------------------------------------------------------------------------------
+
+  @Override
+  protected void doRegister(ChannelPromise promise) {
+    if (end != null) {
+      end.listener(this);
+    }
+    promise.setSuccess();
+  }
+
+  @Override
+  protected void doBeginRead() {
+    reads = true;
+    if (end != null && !end.quiet()) {
+      readLater();
+    }
+  }
+
+  private void readLater() {
+    if (!readDue) {
+      readDue = true;
+      eventLoop().execute(() -> {
+        readDue = false;
+        readable();
+      });
+    }
+  }
+
+  @Override
+  public void readable() {
+    if (!reads || !open || end == null) {
+      return;
+    }
+    var handle = unsafe().recvBufAllocHandle();
+    handle.reset(config);
+    boolean any = false;
+    while (open && end.unread() > 0 && (!any || handle.continueReading())) {
+      ByteBuf buffer = handle.allocate(network.allocator());
+      handle.attemptedBytesRead(buffer.writableBytes());
+      byte[] bytes = new byte[Math.min(buffer.writableBytes(), end.unread())];
+      int n = end.read(bytes, 0, bytes.length);
+      buffer.writeBytes(bytes);
+      handle.lastBytesRead(n);
+      handle.incMessagesRead(1);
+      reads = false;
+      any = true;
+      pipeline().fireChannelRead(buffer);
+    }
+    if (any) {
+      handle.readComplete();
+      pipeline().fireChannelReadComplete();
+    }
+    end();
+  }
+
+  private void end() {
+    if (!open || end.unread() > 0) {
+      return;
+    }
+    if (end.reset()) {
+      pipeline().fireExceptionCaught(new IOException("Connection reset"));
+      unsafe().close(voidPromise());
+    } else if (end.over()) {
+      unsafe().close(voidPromise());
+    }
+  }
+
+  // ---- Writing ------------------------------------------------------------------------------------------
+
+  @Override
+  protected void doWrite(ChannelOutboundBuffer out) throws IOException {
+    for (Object next = out.current(); next != null; next = out.current()) {
+      ByteBuf bytes = (ByteBuf) next;
+      if (!bytes.isReadable()) {
+        out.remove();
+        continue;
+      }
+      if (end.reset()) {
+        throw new IOException("Broken pipe");
+      }
+      byte[] copy = new byte[bytes.readableBytes()];
+      bytes.getBytes(bytes.readerIndex(), copy);
+      int sent = end.send(copy, 0, copy.length);
+      if (sent > 0) {
+        out.removeBytes(sent);
+      }
+      if (sent < copy.length) {
+        blocked = true;
+        return;
+      }
+    }
+    network.bytes();
+  }
+
+  @Override
+  public void writable() {
+    if (blocked && open) {
+      blocked = false;
+      ((SocketUnsafe) unsafe()).flushNow();
+    }
+  }
+
+  // ---- Coming up and going away -------------------------------------------------------------------------
+
+  private final class SocketUnsafe extends AbstractUnsafe {
+
+    private void flushNow() {
+      flush0();
+    }
+
+    @Override
+    public void connect(SocketAddress remote, SocketAddress local, ChannelPromise promise) {
+      if (!promise.setUncancellable() || !ensureOpen(promise)) {
+        return;
+      }
+      connecting = promise;
+      int most = config.getConnectTimeoutMillis();
+      connectTimeout = eventLoop().schedule(() -> failed(new ConnectTimeoutException("connection timed out")), most,
+          TimeUnit.MILLISECONDS);
+      network.connect((InetSocketAddress) remote, this::up, (refused, why) -> failed(why));
+    }
+
+    private void up(Line.End now) {
+      if (!open) {
+        now.close();
+        return;
+      }
+      end = now;
+      ChannelPromise promise = connecting;
+      settled();
+      boolean told = promise.trySuccess();
+      pipeline().fireChannelActive();
+      end.listener(VirtualSocket.this);
+      if (!told) {
+        close(voidPromise());
+      }
+    }
+
+    private void failed(IOException why) {
+      if (connecting != null) {
+        ChannelPromise promise = connecting;
+        settled();
+        promise.tryFailure(why);
+        close(voidPromise());
+      }
+    }
+  }
+
+  private void settled() {
+    connecting = null;
+    connectTimeout.cancel(false);
+  }
+
+  @Override
+  protected AbstractUnsafe newUnsafe() {
+    return new SocketUnsafe();
+  }
+
+  @Override
+  protected void doClose() {
+    open = false;
+    network.closed(this);
+    if (connecting != null) {
+      ChannelPromise promise = connecting;
+      settled();
+      promise.tryFailure(new ClosedChannelException());
+    }
+    if (end != null) {
+      end.close();
+    }
+  }
+
+  @Override
+  protected void doDisconnect() {
+    doClose();
+  }
+
+  @Override
+  protected void doBind(SocketAddress local) {
+    // The network gives a port.
+  }
+
+  @Override
+  protected boolean isCompatible(EventLoop loop) {
+    return loop instanceof VirtualLoop;
+  }
+
+  @Override
+  protected ChannelId newId() {
+    return VirtualId.ZERO;
+  }
+
+  @Override
+  protected SocketAddress localAddress0() {
+    return end == null ? null : end.address;
+  }
+
+  @Override
+  protected SocketAddress remoteAddress0() {
+    return end == null ? null : end.peerAddress();
+  }
+
+  @Override
+  public ChannelConfig config() {
+    return config;
+  }
+
+  @Override
+  public boolean isOpen() {
+    return open;
+  }
+
+  @Override
+  public boolean isActive() {
+    return open && end != null;
+  }
+
+  @Override
+  public ChannelMetadata metadata() {
+    return METADATA;
+  }
+}
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -44,6 +44,8 @@
   private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(10);
   /** One that still comes after so long is passed on as it is: nothing may be held back for two seconds. */
   private static final long KEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  /** One that takes nothing of a body for so long has vanished, or as good as: the client that sends it can't be kept waiting. */
+  private static final long UNTAKEN_NANOS = TimeUnit.SECONDS.toNanos(3);
   /** A buffer that has grown beyond this is not kept for the next answer: there are hundreds of connections. */
   private static final int SMALL = 8 << 10;
 
@@ -56,6 +58,8 @@
   private ChannelFuture written;
   private HttpResponse response;
   private ScheduledFuture<?> stalled;
+  private ScheduledFuture<?> untaken;
+  private long untakenBytes;
   private long begunAt;
   private long heardAt;
   /** Where the pieces of this answer go, and those of this request come from; null where they are whole. */
@@ -144,9 +148,32 @@
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     if (upload != null) {
       upload.flow(channel.isWritable());
+      if (!channel.isWritable() && untaken == null) {
+        untakenBytes = unsent();
+        untaken = ctx.executor().schedule(() -> lookAtUntaken(ctx), UNTAKEN_NANOS, TimeUnit.NANOSECONDS);
+      }
     }
   }
 
+  private long unsent() {
+    var buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+  }
+
+  /** Ends an attempt whose upstream takes no more of the body; nothing else would, since its time counts from its last byte. */
+  private void lookAtUntaken(ChannelHandlerContext ctx) {
+    untaken = null;
+    if (upload == null || channel.isWritable()) {
+      return;
+    }
+    if (unsent() == untakenBytes) {
+      broken();
+      return;
+    }
+    untakenBytes = unsent();
+    untaken = ctx.executor().schedule(() -> lookAtUntaken(ctx), UNTAKEN_NANOS, TimeUnit.NANOSECONDS);
+  }
+
   /** The client of an answer that is passed on takes more, or does not. */
   private void flow(boolean on) {
     held = !on;
@@ -319,6 +346,10 @@
       stalled.cancel(false);
       stalled = null;
     }
+    if (untaken != null) {
+      untaken.cancel(false);
+      untaken = null;
+    }
   }
 
   @Override
