--- a/src/main/java/pumicekeel/cli/LabCommand.java
+++ b/src/main/java/pumicekeel/cli/LabCommand.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -25,6 +26,9 @@
 import pumicekeel.lab.fleet.Figures;
 import pumicekeel.lab.fleet.FleetRun;
 import pumicekeel.lab.policy.Policies;
+import pumicekeel.lab.program.ProgramRun;
+import pumicekeel.lab.program.ProgramSeeds;
+import pumicekeel.lab.program.ProgramShrinker;
 import pumicekeel.lab.real.RealRun;
 import pumicekeel.lab.world.WorldSpec;
 import pumicekeel.lab.world.Worlds;
@@ -33,7 +37,7 @@
 @Command(name = "lab", mixinStandardHelpOptions = true,
     description = "Try policies on whole fleets in virtual time, compare them, and see why.",
     subcommands = {LabCommand.Run.class, LabCommand.Compare.class, LabCommand.MakeReport.class, LabCommand.Explain.class,
-        LabCommand.Shrink.class, LabCommand.Play.class, LabCommand.Real.class})
+        LabCommand.Shrink.class, LabCommand.Program.class, LabCommand.Play.class, LabCommand.Real.class})
 final class LabCommand implements Callable<Integer> {
 
   @Spec
@@ -304,4 +308,80 @@
       return smallest == null ? 1 : 0;
     }
   }
+
+  /** The whole program, by seed. */
+  @Command(name = "program", mixinStandardHelpOptions = true,
+      description = "Play the whole serving program in virtual time on a simulated network, between clients, upstreams and a discovery"
+          + " that break in every way that the seed decides. Held against the four rules and against the bounds on sockets and memory.",
+      footer = {"Exit status: 0 where all held, 1 where something did not; its line says how to repeat it."})
+  static final class Program implements Callable<Integer> {
+
+    @Option(names = "--seed", paramLabel = "S", defaultValue = "1", description = "The first seed. Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(names = "--runs", paramLabel = "N", defaultValue = "1", description = "Seeds from the first on, 1 to 10000000. Default: ${DEFAULT-VALUE}.")
+    private long runs;
+
+    @Option(names = "--threads", paramLabel = "N", description = "Runs side by side, 1 to 256. Default: the processors.")
+    private Integer threads;
+
+    @Option(names = "--trace", description = "Tell every event of the one seed.")
+    private boolean trace;
+
+    @Option(names = "--shrink", description = "Cut the one seed down to the fewest steps that still break the same.")
+    private boolean shrink;
+
+    @Option(names = "--only", paramLabel = "N,N", split = ",", description = "Play only these steps of the one seed, as --shrink names them.")
+    private List<Integer> only;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+      if (runs < 1 || runs > 10_000_000 || threads != null && (threads < 1 || threads > 256)) {
+        throw new ParameterException(spec.commandLine(), "expected --runs 1 to 10000000, --threads 1 to 256");
+      }
+      if (runs > 1 && (trace || shrink || only != null) || shrink && only != null) {
+        throw new ParameterException(spec.commandLine(), "expected one seed with --trace, --only or --shrink, and no --only with --shrink");
+      }
+      return shrink ? shrink() : runs == 1 ? one() : all();
+    }
+
+    private int one() {
+      PrintWriter out = spec.commandLine().getOut();
+      ProgramRun.Report r;
+      try {
+        r = new ProgramRun(seed, only, trace ? out::println : null).play();
+      } catch (IllegalArgumentException e) {
+        throw new ParameterException(spec.commandLine(), "--only: " + e.getMessage());
+      }
+      out.printf("seed %d: %d asked, %d served, %d refused; at most %d sockets, %d bytes of buffers; %s%n", seed, r.asked(), r.served(),
+          r.refused(), r.mostSockets(), r.mostBytes(), r.breach() == null ? "all rules held" : "BROKEN: " + r.breach());
+      return r.breach() == null ? 0 : 1;
+    }
+
+    private int all() throws InterruptedException {
+      PrintWriter out = spec.commandLine().getOut();
+      ProgramSeeds.Total total = new ProgramSeeds(seed, runs, threads == null ? Runtime.getRuntime().availableProcessors() : threads,
+          spec.commandLine().getErr()::println).play();
+      out.printf("%d runs from seed %d: %d asked, %.1f %% served, %.1f %% refused; broken: %d%n", total.runs(), seed, total.asked(),
+          100.0 * total.served() / total.asked(), 100.0 * total.refused() / total.asked(), total.broken().size());
+      total.broken().forEach((s, what) -> out.println("seed " + s + ": " + what + "; again by lab program --seed " + s + " --trace"));
+      return total.broken().isEmpty() ? 0 : 1;
+    }
+
+    private int shrink() {
+      PrintWriter out = spec.commandLine().getOut();
+      ProgramShrinker.Shrunk left = new ProgramShrinker(seed, spec.commandLine().getErr()::println).shrink();
+      if (left == null) {
+        out.println("seed " + seed + ": all rules held");
+        return 0;
+      }
+      left.told().forEach(out::println);
+      out.println("BROKEN: " + left.breach() + "; again by lab program --seed " + seed + " --trace --only "
+          + left.steps().stream().map(String::valueOf).collect(Collectors.joining(",")));
+      return 1;
+    }
+  }
 }
--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -6,24 +6,14 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import pumicekeel.call.Answer;
@@ -31,14 +21,16 @@
 import pumicekeel.call.BodySink;
 import pumicekeel.call.Client;
 import pumicekeel.call.ClientRequest;
-import pumicekeel.call.Facts;
 import pumicekeel.call.Flow;
 import pumicekeel.call.Upload;
 import pumicekeel.core.Lane;
 import pumicekeel.runtime.Log;
 
-/** One client connection: reads a request at a time, hands it to the core and writes its answer. */
-public final class ClientHandler extends SimpleChannelInboundHandler<HttpObject> implements Client, Facts {
+/**
+ * One client connection: reads a request at a time, hands it to the core and passes its answer on. Where it stands is its {@link Phase},
+ * its limits are {@link ClientTimes}, the form of answers is {@link AnswerWriter}'s.
+ */
+public final class ClientHandler extends SimpleChannelInboundHandler<HttpObject> implements Client {
 
   /** A client that was told of its mistake is not read for so long: it may well ask the same again at full speed. */
   private static final long PENALTY_MILLIS = 500;
@@ -46,126 +38,103 @@
   private static final int MOST_DROPPED = 64 << 10;
 
   private final ClientSide side;
+  private final ClientTimes times;
   private ChannelHandlerContext ctx;
+  private AnswerWriter out;
+  private Phase phase = Phase.IDLE;
+  /** Nothing is read into requests any more, though one may still wait for its answer. */
+  private boolean ends;
+  /** The request that is coming in, until it is taken. */
   private HttpRequest head;
   private ByteArrayOutputStream body;
-  /** The id of the request that waits for its answer, or null. */
-  private String waiting;
-  private boolean keepAlive;
-  private boolean discarding;
-  /** The way of the request that has begun to come or waits; null where none is. */
+  /** The id of the request that the core has, or null. */
+  private String taken;
+  /** The way of the request that has begun to come or is taken; null where none is. */
   private Lane lane;
-  /** A request that was turned away at its head: what is left of its body is dropped, and counted. */
-  private boolean skipping;
-  private long skipSince;
-  private boolean penalty;
-  private int skipped;
-  private long dropped;
   /** The body of a request that was taken before it had come whole; null where there is none that still comes. */
   private Upload upload;
   /** The same until the request is over, also once it has come whole: pieces that nobody took are given back then. */
   private Upload sent;
-  private long received;
-  private long headAt;
-  private long pieceAt;
-  /** No more of it is wanted for now, since when. */
-  private boolean held;
-  private long heldSince;
+  /** Where the answer comes from that is being passed on; null where none is. */
+  private Flow answer;
+  private boolean keepAlive;
+  private boolean lastAnswer;
+  /** Why its client has to wait, once what it did wrong has been dropped. */
+  private boolean penalty;
   /** The client is made to wait for what it did. */
   private boolean resting;
   /** Nothing more is read from it, ever. */
   private boolean deaf;
-  /** Where the answer comes from that is being passed on; null where none is. */
-  private Flow answer;
-  private boolean lastAnswer;
-  private long stuckBytes;
-  private final long openedAt;
+  private long dropped;
   /** What its client may have waited before it was accepted; counts for its first request. */
   private long waited;
-  /** When the last request ended, and when the first byte came of the one that has come in part; 0 for never. */
-  private long answeredAt;
-  private long partSince;
-  /** When the socket took no more of an answer; 0 while it does. */
-  private long stuckSince;
 
   public ClientHandler(ClientSide side) {
     this.side = side;
-    openedAt = now();
+    times = new ClientTimes(now());
   }
 
-  void waited(long nanos) {
-    waited = nanos;
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    ctx = context;
+    out = new AnswerWriter(context);
   }
 
-  /** A request with what is left of its time, of which its client may have spent some in line. */
-  private ClientRequest inTime(ClientRequest request) {
-    return answeredAt == 0 && waited > 0 ? request.withLeft(request.leftNanos() - waited) : request;
+  private long now() {
+    return side.clock().now();
   }
 
-  @Override
-  public void handlerAdded(ChannelHandlerContext context) {
-    ctx = context;
+  private void become(Phase next) {
+    if (!phase.mayBecome(next)) {
+      Log.caused("defect of a client's connection: " + phase + " became " + next);
+    }
+    phase = next;
   }
 
+  // ---- What its side asks -------------------------------------------------------------------------------
+
   /** Nothing of a request has come that has no answer yet. */
   public boolean idle() {
-    return untaken() && partSince == 0;
+    return untaken() && !times.partCame();
   }
 
   /** No whole request has come that has no answer yet, and no last answer is on its way out. */
   public boolean untaken() {
-    return waiting == null && !discarding;
+    return taken == null && !ends;
   }
 
   /** A connection on which nothing was ever asked in whole. */
   public boolean neverAsked() {
-    return idleOrPart() && answeredAt == 0;
+    return untaken() && times.neverAnswered();
   }
 
   /** How long nothing has been open on it, since the last answer or the connect. */
   public long idleFor(long now) {
-    return now - (answeredAt == 0 ? openedAt : answeredAt);
+    return times.idleFor(now);
   }
 
   /** How long a request has been coming in, counted from the connect for the first one; 0 where none is. */
   public long comingFor(long now) {
-    return !idleOrPart() || partSince == 0 ? 0 : now - (answeredAt == 0 ? openedAt : partSince);
+    return untaken() ? times.comingFor(now) : 0;
   }
 
   /** How long the rest of a request has been coming in that was turned away at its head; 0 where none is. */
   public long skippingFor(long now) {
-    return skipping ? now - Math.max(skipSince, upload == null ? skipSince : pieceAt) : 0;
+    return phase == Phase.SKIPPING ? times.skippingFor(now, uploads()) : 0;
   }
 
   /** How long the client has not taken anything of what was written to it. */
   public long stuckFor(long now) {
-    if (stuckSince == 0) {
-      return 0;
-    }
     var buffer = ctx.channel().unsafe().outboundBuffer();
-    long waits = buffer == null ? 0 : buffer.totalPendingWriteBytes();
-    if (waits != stuckBytes) {
-      // A slow reader is none that is stuck.
-      stuckBytes = waits;
-      stuckSince = now;
-    }
-    return now - stuckSince;
+    return times.stuckFor(now, buffer == null ? 0 : buffer.totalPendingWriteBytes());
   }
 
   /** Whether a request does not come on as fast as it has to. */
   boolean late(long now) {
-    if (skipping) {
-      return slow(now - skipSince, skipped);
-    }
-    if (head == null && upload == null) {
-      return comingFor(now) > ClientLimits.HEAD_NANOS;
+    if (phase == Phase.SKIPPING) {
+      return times.skipLate(now);
     }
-    return !held && (now - pieceAt > ClientLimits.PIECE_NANOS || slow(now - headAt, received));
-  }
-
-  private static boolean slow(long nanos, long bytes) {
-    return nanos > ClientLimits.BODY_NANOS
-        + bytes * TimeUnit.SECONDS.toNanos(1) / ClientLimits.LEAST_BYTES_PER_SECOND;
+    return head == null && upload == null ? comingFor(now) > ClientLimits.HEAD_NANOS : times.bodyLate(now);
   }
 
   /** Whether a body is being dropped that was said to be large. */
@@ -173,17 +142,17 @@
     return upload != null;
   }
 
-  private boolean idleOrPart() {
-    return waiting == null && !discarding;
+  void waited(long nanos) {
+    waited = nanos;
   }
 
   /** Ends a request that does not come to its end. */
   public void expire() {
-    if (skipping) {
+    if (phase == Phase.SKIPPING) {
       close();
       return;
     }
-    if (waiting != null && upload != null) {
+    if (taken != null && upload != null) {
       leave();
     }
     reject(408, "the request took too long");
@@ -193,30 +162,41 @@
     ctx.close();
   }
 
+  /** Closes once all that was written has gone out: an answer must not be cut short. */
+  public void close() {
+    // Chosen once: an idle connection whose close is under way makes no more room.
+    end();
+    ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void end() {
+    ends = true;
+    if (taken == null && phase != Phase.SKIPPING) {
+      become(Phase.ENDING);
+    }
+  }
+
+  // ---- Reading ------------------------------------------------------------------------------------------
+
   /** Notes a request's first byte, and drops what a client sends that is not read any more. */
   public boolean accepts(ByteBuf bytes) {
-    if ((waiting == null || upload != null) && !discarding) {
-      pieceAt = now();
-      partSince = partSince == 0 ? pieceAt : partSince;
+    if ((taken == null || upload != null) && !ends) {
+      times.bytesCame(now());
+      if (phase == Phase.IDLE) {
+        become(Phase.COMING);
+      }
       return true;
     }
-    discarding = true;
+    ends = true;
     keepAlive = false;
     dropped += bytes.readableBytes();
     read();
     return false;
   }
 
-  /** Closes once all that was written has gone out: an answer must not be cut short. */
-  public void close() {
-    // Chosen once: an idle connection whose close is under way makes no more room.
-    discarding = true;
-    ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-  }
-
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) throws IOException {
-    if (discarding) {
+    if (ends) {
       return;
     }
     if (message.decoderResult().isFailure()) {
@@ -226,38 +206,23 @@
     if (message instanceof HttpRequest next) {
       begin(next);
     }
-    if (skipping) {
+    if (phase == Phase.SKIPPING) {
       skip(message);
     } else if (message instanceof HttpContent part && upload != null) {
       passOn(part);
     } else if (message instanceof HttpContent part && head != null) {
-      if (lane != null && !lane.room(part.content().readableBytes())) {
-        turnAway(new ClientRequest.Bad(503, "no room for the body"));
-        skip(message);
-        return;
-      }
-      part.content().readBytes(body, part.content().readableBytes());
-      received = body.size();
-      if (body.size() > Answer.MAX_BODY) {
-        takeUpload(-1);
-        if (skipping) {
-          skip(message);
-        } else {
-          ended(part);
-        }
-      } else if (message instanceof LastHttpContent) {
-        whole();
-      }
+      keep(part);
     }
   }
 
   private void begin(HttpRequest next) {
-    if (waiting != null) {
+    if (taken != null) {
       // Pipelining: the first request still gets its answer, the rest is dropped with the connection.
       keepAlive = false;
-      discarding = true;
+      ends = true;
       return;
     }
+    become(Phase.COMING);
     try {
       RequestHead.check(next);
     } catch (ClientRequest.Bad e) {
@@ -265,20 +230,18 @@
       return;
     }
     head = next;
-    headAt = now();
-    pieceAt = headAt;
-    received = 0;
+    times.headCame(now());
     body = new ByteArrayOutputStream();
     if (!isOwn(next.uri())) {
       try {
-        lane = side.door().enter(this);
+        lane = side.door().enter(new RequestFacts(side.name(), next));
       } catch (ClientRequest.Bad e) {
         turnAway(e);
         return;
       }
     }
     if (HttpUtil.is100ContinueExpected(next)) {
-      ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      out.goOn();
     }
     long length = HttpUtil.getContentLength(next, -1L);
     if (length > Answer.MAX_BODY) {
@@ -286,6 +249,44 @@
     }
   }
 
+  /** Keeps a piece of a body, and takes the request once that has come whole or grown too large. */
+  private void keep(HttpContent part) throws IOException {
+    if (lane != null && !lane.room(part.content().readableBytes())) {
+      turnAway(new ClientRequest.Bad(503, "no room for the body"));
+      skip(part);
+      return;
+    }
+    part.content().readBytes(body, part.content().readableBytes());
+    times.received(body.size());
+    if (body.size() > Answer.MAX_BODY) {
+      takeUpload(-1);
+      if (phase == Phase.SKIPPING) {
+        skip(part);
+      } else {
+        pieceOver(part);
+      }
+    } else if (part instanceof LastHttpContent) {
+      whole();
+    }
+  }
+
+  private void whole() {
+    HttpRequest request = head;
+    head = null;
+    keepAlive = HttpUtil.isKeepAlive(request);
+    if (isOwn(request.uri())) {
+      write(side.ready() || side.warmsUpAt(request.uri()) ? 200 : 503, new byte[0], "text/plain", 0);
+      return;
+    }
+    try {
+      take(request, body.toByteArray(), Phase.TAKEN);
+    } catch (ClientRequest.Bad e) {
+      taken = null;
+      write(e.status, reason(request, e), "text/plain", 0);
+      pause();
+    }
+  }
+
   /** Takes a request whose body is too large to be kept; what has come of it by now is. */
   private void takeUpload(long length) {
     HttpRequest request = head;
@@ -298,40 +299,52 @@
       if (isOwn(request.uri())) {
         throw new ClientRequest.Bad(413, "no body is wanted here");
       }
-      ClientRequest taken = inTime(ClientRequest.of(request, new byte[0], upload, lane.settings(), lane.former()));
-      head = null;
-      waiting = taken.id();
-      // Nobody takes more of it before an upstream does.
-      hold(false);
-      if (!lane.take(taken, this)) {
-        throw new ClientRequest.Bad(409, "this id is open already");
-      }
+      take(request, new byte[0], Phase.UPLOADING);
     } catch (ClientRequest.Bad e) {
-      waiting = null;
+      taken = null;
       head = request;
       turnAway(e);
     }
   }
 
+  /** Hands a request to the core, which may answer at once. */
+  private void take(HttpRequest request, byte[] kept, Phase as) throws ClientRequest.Bad {
+    ClientRequest next = inTime(ClientRequest.of(request, kept, upload, lane.settings(), lane.former()));
+    head = null;
+    taken = next.id();
+    become(as);
+    if (upload != null) {
+      // Nobody takes more of it before an upstream does.
+      hold(false);
+    }
+    if (!lane.take(next, this)) {
+      throw new ClientRequest.Bad(409, "this id is open already");
+    }
+  }
+
+  /** A request with what is left of its time, of which its client may have spent some in line. */
+  private ClientRequest inTime(ClientRequest request) {
+    return times.neverAnswered() && waited > 0 ? request.withLeft(request.leftNanos() - waited) : request;
+  }
+
+  /** Whether a path is the balancer's own. */
+  private boolean isOwn(String uri) {
+    return uri.equals("/up") || side.warmsUpAt(uri);
+  }
+
+  // ---- A body that is passed on while it comes ----------------------------------------------------------
+
   /** The upstream of an upload takes more of it, or does not. */
   private void hold(boolean on) {
-    if (upload == null) {
-      return;
-    }
-    long now = now();
-    if (held && on) {
-      headAt += now - heldSince;
-      pieceAt = now;
-    } else if (!held && !on) {
-      heldSince = now;
+    if (upload != null) {
+      times.hold(!on, now());
+      read();
     }
-    held = !on;
-    read();
   }
 
   private void passOn(HttpContent part) {
-    received += part.content().readableBytes();
-    if (received > Answer.MOST_BODY) {
+    times.received(times.received() + part.content().readableBytes());
+    if (times.received() > Answer.MOST_BODY) {
       leave();
       reject(413, "body over 32 MiB");
       return;
@@ -339,14 +352,17 @@
     if (part.content().isReadable()) {
       upload.piece(part.content().retain());
     }
-    ended(part);
+    pieceOver(part);
   }
 
-  private void ended(HttpContent part) {
+  private void pieceOver(HttpContent part) {
     if (part instanceof LastHttpContent && upload != null) {
       Upload whole = upload;
       upload = null;
-      held = false;
+      times.bodyCame();
+      if (phase == Phase.UPLOADING) {
+        become(Phase.TAKEN);
+      }
       whole.end();
       read();
     }
@@ -354,8 +370,8 @@
 
   /** Gives up the request that was taken: it will not come whole. */
   private void leave() {
-    String id = waiting;
-    waiting = null;
+    String id = taken;
+    taken = null;
     dropBody();
     upload = null;
     lane.gone(id);
@@ -368,74 +384,52 @@
     }
   }
 
-  /** Reads where reading is of use: one place decides, or one reason to wait would be lifted by another's end. */
-  private void read() {
-    ctx.channel().config().setAutoRead(!deaf && !held && !resting && dropped <= MOST_DROPPED
-        && ctx.channel().isWritable());
-  }
-
-  /** Whether a path is the balancer's own. */
-  private boolean isOwn(String uri) {
-    return uri.equals("/up") || side.warmsUpAt(uri);
-  }
+  // ---- A request that is not taken ----------------------------------------------------------------------
 
   /** Answers a request at once, by its head; the connection goes on once the rest of its body was dropped. */
   private void turnAway(ClientRequest.Bad why) {
     keepAlive = HttpUtil.isKeepAlive(head);
-    // No body to an answer to HEAD: it would be taken for the next answer.
-    String text = head.method().equals(HttpMethod.HEAD) ? "" : why.getMessage();
+    byte[] text = reason(head, why);
     head = null;
-    skipping = true;
-    skipSince = now();
-    skipped = 0;
-    write(why.status, text.getBytes(StandardCharsets.UTF_8), "text/plain", why.retryAfterNanos);
+    become(Phase.SKIPPING);
+    times.skips(now());
+    write(why.status, text, "text/plain", why.retryAfterNanos);
     penalty = why.status < 500;
   }
 
+  /** No body to an answer to HEAD: it would be taken for the next answer. */
+  private static byte[] reason(HttpRequest request, ClientRequest.Bad why) {
+    return request.method().equals(HttpMethod.HEAD) ? new byte[0] : why.getMessage().getBytes(StandardCharsets.UTF_8);
+  }
+
   private void skip(HttpObject message) {
-    skipped += message instanceof HttpContent part ? part.content().readableBytes() : 0;
+    if (message instanceof HttpContent part) {
+      times.skipped(part.content().readableBytes());
+    }
     if (message instanceof LastHttpContent) {
-      skipping = false;
+      become(Phase.IDLE);
       upload = null;
-      partSince = 0;
+      times.skippedAll();
       if (lastAnswer) {
         close();
       } else if (penalty) {
         // Only now: what is not read could not be dropped.
         pause();
       }
-    } else if (skipped > (upload == null ? Answer.MAX_BODY : Answer.MOST_BODY)) {
+    } else if (times.skipped() > (upload == null ? Answer.MAX_BODY : Answer.MOST_BODY)) {
       close();
     }
   }
 
-  /** Reads no more from a client that breaks the protocol: what it sends must not fill the memory. */
-  private void discard() {
-    discarding = true;
+  /** Answers what breaks the protocol; a request that is taken already keeps its own, only answer. */
+  private void reject(int status, String why) {
+    keepAlive = false;
+    head = null;
+    ends = true;
     deaf = true;
     read();
-  }
-
-  private void whole() {
-    HttpRequest request = head;
-    head = null;
-    keepAlive = HttpUtil.isKeepAlive(request);
-    if (isOwn(request.uri())) {
-      write(side.ready() || side.warmsUpAt(request.uri()) ? 200 : 503, new byte[0], "text/plain", 0);
-      return;
-    }
-    try {
-      ClientRequest taken = inTime(ClientRequest.of(request, body.toByteArray(), null, lane.settings(), lane.former()));
-      waiting = taken.id();
-      if (!lane.take(taken, this)) {
-        waiting = null;
-        throw new ClientRequest.Bad(409, "this id is open already");
-      }
-    } catch (ClientRequest.Bad e) {
-      // No body to an answer to HEAD: it would be taken for the next answer.
-      String why = request.method().equals(HttpMethod.HEAD) ? "" : e.getMessage();
-      write(e.status, why.getBytes(StandardCharsets.UTF_8), "text/plain", 0);
-      pause();
+    if (taken == null) {
+      write(status, why.getBytes(StandardCharsets.UTF_8), "text/plain", 0);
     }
   }
 
@@ -449,51 +443,53 @@
     }, PENALTY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Reads where reading is of use: one place decides, or one reason to wait would be lifted by another's end. */
+  private void read() {
+    ctx.channel().config().setAutoRead(!deaf && !times.held() && !resting && dropped <= MOST_DROPPED
+        && ctx.channel().isWritable());
+  }
+
+  // ---- Answers ------------------------------------------------------------------------------------------
+
   /** Reads nothing from a client that does not take its answers. */
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     boolean takes = context.channel().isWritable();
-    stuckSince = takes ? 0 : now();
+    times.takes(takes, now());
     read();
     if (answer != null) {
       answer.flow(takes);
     }
   }
 
-  /** Answers what breaks the protocol; a request that is taken already keeps its own, only answer. */
-  private void reject(int status, String why) {
-    keepAlive = false;
-    head = null;
-    discard();
-    if (waiting == null) {
-      write(status, why.getBytes(StandardCharsets.UTF_8), "text/plain", 0);
-    }
+  @Override
+  public void served(Answer whole) {
+    // A definite answer of the application's own, which the platform has no status for: 4xx, as the request is at fault.
+    write(whole.error() ? 422 : 200, whole.body(), whole.contentType(), 0);
   }
 
   @Override
-  public void served(Answer answer) {
-    // A definite answer of the application's own, which the platform has no status for: 4xx, as the request is at fault.
-    write(answer.error() ? 422 : 200, answer.body(), answer.contentType(), 0);
+  public void refused(long retryAfterNanos) {
+    write(429, new byte[0], null, retryAfterNanos);
+  }
+
+  @Override
+  public void failed() {
+    write(502, new byte[0], null, 0);
+  }
+
+  private void write(int status, byte[] content, String contentType, long retryAfterNanos) {
+    lastAnswer = !keepAlive || side.closing();
+    over(out.whole(status, content, contentType, retryAfterNanos, lastAnswer));
   }
 
   /** An answer that is too large to be kept begins: passes it on as it comes, and no faster than the client reads. */
   @Override
   public BodySink begin(AnswerStart start, Flow source) {
-    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    if (start.length() < 0) {
-      response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-    } else {
-      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, start.length());
-    }
-    if (start.contentType() != null) {
-      response.headers().set(HttpHeaderNames.CONTENT_TYPE, start.contentType());
-    }
     lastAnswer = !keepAlive || side.closing();
-    if (lastAnswer) {
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
     answer = source;
-    ctx.write(response);
+    become(Phase.PASSING);
+    out.begin(start, lastAnswer);
     return new Pieces();
   }
 
@@ -501,22 +497,22 @@
   private final class Pieces implements BodySink {
     @Override
     public void piece(ByteBuf bytes) {
-      // The channel tells by its writability when its source has to wait.
-      ctx.writeAndFlush(new DefaultHttpContent(bytes));
+      out.piece(bytes);
     }
 
     @Override
     public void whole() {
       answer = null;
       lastAnswer |= !keepAlive;
-      over(ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+      over(out.end());
     }
 
     /** Ended without its last piece, so that the client can tell. */
     @Override
     public void cut() {
       answer = null;
-      waiting = null;
+      taken = null;
+      become(Phase.ENDING);
       dropBody();
       leaveLane();
       ctx.close();
@@ -525,55 +521,27 @@
 
   /** The last byte of an answer is on its way. */
   private void over(ChannelFuture written) {
-    waiting = null;
+    taken = null;
     leaveLane();
-    partSince = 0;
-    answeredAt = now();
-    if (upload != null && !skipping) {
+    times.answered(now());
+    if (upload != null && phase != Phase.SKIPPING) {
       // What is left of the request is read, or the client would write into a closed socket and never see its answer.
-      skipping = true;
-      skipSince = answeredAt;
-      skipped = 0;
+      become(Phase.SKIPPING);
+      times.skips(now());
       penalty = false;
-    } else if (lastAnswer && !skipping) {
-      discard();
+    } else if (lastAnswer && phase != Phase.SKIPPING) {
+      become(Phase.ENDING);
+      ends = true;
+      deaf = true;
+      read();
       written.addListener(ChannelFutureListener.CLOSE);
+    } else if (phase != Phase.SKIPPING) {
+      become(Phase.IDLE);
     }
     dropBody();
     side.becameIdle(this);
   }
 
-  @Override
-  public void refused(long retryAfterNanos) {
-    write(429, new byte[0], null, retryAfterNanos);
-  }
-
-  @Override
-  public void failed() {
-    write(502, new byte[0], null, 0);
-  }
-
-  private void write(int status, byte[] content, String contentType, long retryAfterNanos) {
-    FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
-        Unpooled.wrappedBuffer(content));
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
-    if (contentType != null) {
-      response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
-    }
-    if (retryAfterNanos > 0) {
-      response.headers().set(HttpHeaderNames.RETRY_AFTER, BigDecimal.valueOf(retryAfterNanos / 1_000_000, 3).toPlainString());
-    }
-    lastAnswer = !keepAlive || side.closing();
-    if (lastAnswer) {
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
-    over(ctx.writeAndFlush(response));
-  }
-
-  private long now() {
-    return side.clock().now();
-  }
-
   private void leaveLane() {
     Lane left = lane;
     lane = null;
@@ -582,48 +550,16 @@
     }
   }
 
-  // ---- What a route may ask for -------------------------------------------------------------------------
-
-  @Override
-  public String listener() {
-    return side.name();
-  }
-
-  @Override
-  public String host() {
-    return head.headers().get(HttpHeaderNames.HOST);
-  }
-
-  @Override
-  public String path() {
-    int query = head.uri().indexOf('?');
-    return query < 0 ? head.uri() : head.uri().substring(0, query);
-  }
-
-  @Override
-  public String method() {
-    return head.method().name();
-  }
-
-  @Override
-  public String className() {
-    return head.headers().get("X-Service-Class");
-  }
-
-  @Override
-  public String header(String name) {
-    return head.headers().get(name);
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     side.closed(this);
     dropBody();
-    if (waiting != null) {
-      String id = waiting;
-      waiting = null;
+    if (taken != null) {
+      String id = taken;
+      taken = null;
       lane.gone(id);
     }
+    become(Phase.ENDING);
     leaveLane();
   }
 
--- /dev/null
+++ b/src/main/java/pumicekeel/front/http/RequestFacts.java
@@ -0,0 +1,35 @@
+package pumicekeel.front.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import pumicekeel.call.Facts;
+
+/** What a route may ask of a request whose head has come at this listener. */
+record RequestFacts(String listener, HttpRequest head) implements Facts {
+
+  @Override
+  public String host() {
+    return head.headers().get(HttpHeaderNames.HOST);
+  }
+
+  @Override
+  public String path() {
+    int query = head.uri().indexOf('?');
+    return query < 0 ? head.uri() : head.uri().substring(0, query);
+  }
+
+  @Override
+  public String method() {
+    return head.method().name();
+  }
+
+  @Override
+  public String className() {
+    return head.headers().get("X-Service-Class");
+  }
+
+  @Override
+  public String header(String name) {
+    return head.headers().get(name);
+  }
+}
--- a/src/main/java/pumicekeel/lab/program/ProgramRun.java
+++ b/src/main/java/pumicekeel/lab/program/ProgramRun.java
@@ -50,6 +50,9 @@
   private static final long BYTES_EACH = 400 << 10;
   /** Against what an upstream is usually asked: the budget of a cold one goes by what it can do. */
   private static final double CAPACITY = 2;
+  private static final int PARTNER_PORT = 1_999;
+  /** One request in so many is a call, where there is a listener for them. */
+  private static final int CALLS_IN = 4;
 
   private final Script script;
   private final VirtualLoop loop = new VirtualLoop();
@@ -60,6 +63,9 @@
   private final Map<Integer, RawServer> servers = new HashMap<>();
   private RawDiscovery discovery;
   private RawClients clients;
+  private RawCalls calls;
+  private InetSocketAddress operatorListener;
+  private int generation;
   private Node node;
   private long start;
   private boolean stopped;
@@ -68,19 +74,33 @@
     this(Script.of(seed), null);
   }
 
+  /** One with these steps of the seed's script alone, or all where null; every event is told, a line each, where {@code trace} is not
+   * null. */
+  public ProgramRun(long seed, List<Integer> steps, Consumer<String> trace) {
+    this(steps == null ? Script.of(seed) : Script.of(seed).only(steps), trace);
+  }
+
   /** One whose every event is told, a line each. */
   ProgramRun(Script script, Consumer<String> trace) {
     this.script = script;
-    network = new VirtualNetwork(loop, script.chance("network"));
-    settings = new Settings(0, 1, "a", List.of(type("look", Effect.SAFE, DedupScope.ALL), type("quote", Effect.KEYED, DedupScope.CELL),
-        type("order", Effect.UNSAFE, DedupScope.ALL)), List.of(), new Limits(true, false, false, true, true, SECOND, 4, 10_000, 1,
+    network = new VirtualNetwork(loop, script.chance("network"), this::broken);
+    settings = settings(400 * MS);
+    book = new Book(loop, settings.contract(), DEDUP + 2 * MS, trace);
+  }
+
+  private static Settings settings(long aim) {
+    return new Settings(0, 1, "a", List.of(type("look", Effect.SAFE, DedupScope.ALL, aim),
+        type("quote", Effect.KEYED, DedupScope.CELL, aim), type("order", Effect.UNSAFE, DedupScope.ALL, aim)), List.of(), new Limits(true, false, false, true, true, SECOND, 4, 10_000, 1,
         250 * MS, IDLE), new Contract(8 * MS, 10 * SECOND, GRACE, 0.3, WARM, 3, 3 * SECOND), new Prices(0, 0, 0), true,
         WeightKind.NONE, 0.2, true, MS);
-    book = new Book(loop, settings.contract(), DEDUP + 2 * MS, trace);
   }
 
-  private static RequestClass type(String name, Effect effect, DedupScope scope) {
-    return new RequestClass(name, effect, scope, DEDUP, 400 * MS, 0, 2 * SECOND, 1, 0, false);
+  private void broken(String what) {
+    book.broken(what);
+  }
+
+  private static RequestClass type(String name, Effect effect, DedupScope scope, long aim) {
+    return new RequestClass(name, effect, scope, DEDUP, aim, 0, 2 * SECOND, 1, 0, false);
   }
 
   /** Plays it. */
@@ -89,13 +109,19 @@
     loop.onFailure(e -> book.broken("thrown: " + e + (e.getStackTrace().length == 0 ? "" : " at " + e.getStackTrace()[0])));
     try {
       begin();
-      script.steps().forEach(s -> loop.at(start + s.at(), () -> happen(s)));
+      for (Step s : script.steps()) {
+        loop.runUntil(start + s.at());
+        happen(s);
+      }
       long last = script.steps().stream().mapToLong(Step::at).max().orElse(0);
       loop.runUntil(start + last + STOP_WITHIN + SECOND);
       if (stopped && !node.hasDrained()) {
         book.broken("the balancer did not end within its time");
       }
       clients.close();
+      if (calls != null) {
+        calls.close();
+      }
       loop.runUntil(loop.now() + SETTLES);
       end();
     } catch (IOException | InterruptedException | RuntimeException e) {
@@ -115,8 +141,10 @@
     }
     Configuration configuration = new Configuration("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
         discovery.address(), script.seed(), script.sockets(), new HostList(0, true, List.of()), settings);
-    node = new Node(new Reactor(loop, clock, network), configuration, null, () -> book.broken("the program ended itself"), false);
+    operatorListener = script.pools() ? new InetSocketAddress(InetAddress.getLoopbackAddress(), PARTNER_PORT) : null;
+    node = new Node(new Reactor(loop, clock, network), configuration, script.pools() ? OperatorFiles.generation(0, operatorListener) : null, () -> book.broken("the program ended itself"), false);
     clients = new RawClients(script, network, book, node.start());
+    calls = script.pools() ? new RawCalls(script, network, book, operatorListener) : null;
     loop.runUntil(loop.now() + 200 * MS);
     start = loop.now();
   }
@@ -128,13 +156,36 @@
     }
   }
 
+  private void ask(int number) {
+    if (calls != null && number % CALLS_IN == 0) {
+      calls.ask(number);
+    } else {
+      clients.ask(number);
+    }
+  }
+
+  /** Another generation of the operator file, or other settings; not while it stops. */
+  private void reload() {
+    generation++;
+    try {
+      if (script.pools() && !stopped) {
+        node.reload(OperatorFiles.generation(generation, operatorListener));
+      } else if (!stopped) {
+        node.reload(new Configuration("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), discovery.address(), script.seed(),
+            script.sockets(), new HostList(0, true, List.of()), settings(400 * MS + generation % 2 * 200 * MS)));
+      }
+    } catch (IOException | InterruptedException e) {
+      book.broken("a reload failed: " + e.getMessage());
+    }
+  }
+
   private void happen(Step step) {
     if (step.kind() != Step.Kind.ASK) {
       book.note(step.kind().toString(), step.which());
     }
     RawServer server = servers.get(step.which());
     switch (step.kind()) {
-      case ASK -> clients.ask(step.which());
+      case ASK -> ask(step.which());
       case BURST -> clients.burst(step.which());
       case CROWD -> clients.crowd(script.sockets() / 4 + step.which() * 2, step.nanos());
       case DRAIN -> drain(server);
@@ -147,9 +198,13 @@
       case IMPATIENT -> server.impatient();
       case WATCH_BREAKS -> discovery.breakWatches();
       case WATCH_SILENT -> discovery.silent(step.nanos());
+      case RELOAD -> reload();
       case STOP -> {
         stopped = true;
         clients.stopped();
+        if (calls != null) {
+          calls.stopped();
+        }
         node.drain();
       }
     }
@@ -187,7 +242,7 @@
     if (!left.isEmpty()) {
       book.broken("connections left behind: " + left);
     }
-    List.copyOf(network.open()).forEach(s -> s.close());
+    List.copyOf(network.open()).forEach(VirtualSocket::close);
     loop.runUntil(loop.now() + SECOND);
     if (network.bytes() > 0) {
       book.broken("buffers left behind: " + network.bytes() + " bytes");
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/ProgramSeeds.java
@@ -0,0 +1,67 @@
+package pumicekeel.lab.program;
+
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+/** Seed after seed, several side by side; each run has a thread, a loop and a network of its own. */
+public final class ProgramSeeds {
+
+  /** What came of them all; the broken ones by seed, in order. */
+  public record Total(long runs, long asked, long served, long refused, ConcurrentSkipListMap<Long, String> broken) {}
+
+  private static final int LINES = 20;
+
+  private final long first;
+  private final long runs;
+  private final int threads;
+  private final Consumer<String> progress;
+  private final AtomicLong next = new AtomicLong();
+  private final AtomicLong asked = new AtomicLong();
+  private final AtomicLong served = new AtomicLong();
+  private final AtomicLong refused = new AtomicLong();
+  private final ConcurrentSkipListMap<Long, String> broken = new ConcurrentSkipListMap<>();
+
+  public ProgramSeeds(long first, long runs, int threads, Consumer<String> progress) {
+    this.first = first;
+    this.runs = runs;
+    this.threads = threads;
+    this.progress = progress;
+  }
+
+  /** Plays them all, also after one that is broken. */
+  public Total play() throws InterruptedException {
+    ExecutorService workers = Executors.newFixedThreadPool(threads, work -> {
+      Thread t = new Thread(work, "seeds");
+      t.setDaemon(true);
+      return t;
+    });
+    for (int i = 0; i < threads; i++) {
+      workers.execute(this::work);
+    }
+    workers.shutdown();
+    while (!workers.awaitTermination(1, TimeUnit.HOURS)) {
+      progress.accept(Math.min(runs, next.get()) + " of " + runs);
+    }
+    return new Total(runs, asked.get(), served.get(), refused.get(), broken);
+  }
+
+  private void work() {
+    for (long i = next.getAndIncrement(); i < runs; i = next.getAndIncrement()) {
+      ProgramRun.Report r = new ProgramRun(first + i).play();
+      asked.addAndGet(r.asked());
+      served.addAndGet(r.served());
+      refused.addAndGet(r.refused());
+      if (r.breach() != null) {
+        broken.put(r.seed(), r.breach());
+        progress.accept("seed " + r.seed() + ": " + r.breach());
+      }
+      if ((i + 1) % Math.max(1, runs / LINES) == 0) {
+        progress.accept(i + 1 + " of " + runs);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/ProgramShrinker.java
@@ -0,0 +1,66 @@
+package pumicekeel.lab.program;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Cuts a run in which something is broken down to the fewest steps in which the same still is (delta debugging, Zeller and Hildebrandt
+ * 2002): halves are left out first, then smaller parts, then single steps.
+ */
+public final class ProgramShrinker {
+
+  /** What is left: which steps of the seed's script, what they say, and what they break. */
+  public record Shrunk(List<Integer> steps, List<String> told, String breach) {}
+
+  private final Script script;
+  private final Consumer<String> progress;
+
+  public ProgramShrinker(long seed, Consumer<String> progress) {
+    this(Script.of(seed), progress);
+  }
+
+  ProgramShrinker(Script script, Consumer<String> progress) {
+    this.script = script;
+    this.progress = progress;
+  }
+
+  /** The fewest steps that were found; null where nothing is broken to begin with. */
+  public Shrunk shrink() {
+    List<Integer> kept = new ArrayList<>();
+    for (int i = 0; i < script.steps().size(); i++) {
+      kept.add(i);
+    }
+    String breach = play(kept);
+    if (breach == null) {
+      return null;
+    }
+    String kind = kindOf(breach);
+    for (int part = kept.size() / 2; part >= 1;) {
+      boolean smaller = false;
+      for (int from = 0; from < kept.size(); from += part) {
+        List<Integer> fewer = new ArrayList<>(kept.subList(0, from));
+        fewer.addAll(kept.subList(Math.min(kept.size(), from + part), kept.size()));
+        String still = play(fewer);
+        if (still != null && kindOf(still).equals(kind)) {
+          kept = fewer;
+          breach = still;
+          smaller = true;
+          from -= part;
+        }
+      }
+      progress.accept(kept.size() + " steps left: " + breach);
+      part = smaller && part == 1 ? 1 : part / 2;
+    }
+    return new Shrunk(List.copyOf(kept), kept.stream().map(i -> script.steps().get(i).toString()).toList(), breach);
+  }
+
+  private String play(List<Integer> steps) {
+    return new ProgramRun(script.only(steps), null).play().breach();
+  }
+
+  /** A breach without its numbers and times: the same fault elsewhere is the same fault. */
+  static String kindOf(String breach) {
+    return breach.replaceAll("[0-9.]+", "#");
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/lab/program/RawCalls.java
@@ -0,0 +1,172 @@
+package pumicekeel.lab.program;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pumicekeel.adapter.Fields;
+import pumicekeel.adapter.WireException;
+import pumicekeel.lab.program.Fate.Leaving;
+import pumicekeel.lab.world.Chance;
+
+/** Stand-in clients of the JSON-RPC front: a few connections with several calls open each, one message a line. */
+final class RawCalls {
+
+  private static final long MS = 1_000_000L;
+  private static final long SLACK = 58 * MS;
+  private static final int CONNECTIONS = 3;
+  private static final int DEPTH = 6;
+  /** One connection in so many ends its side behind a call, and still wants what is open. */
+  private static final int ENDS_IN = 25;
+  private static final int FAILED = -32_000;
+  private static final int REFUSED = -32_001;
+  private static final int NO_ROOM = -32_003;
+
+  private final VirtualLoop loop;
+  private final VirtualNetwork network;
+  private final Book book;
+  private final InetSocketAddress balancer;
+  private final Script script;
+  private final Chance chance;
+  private final List<Connection> open = new ArrayList<>();
+  private boolean stopped;
+
+  RawCalls(Script script, VirtualNetwork network, Book book, InetSocketAddress balancer) {
+    this.script = script;
+    this.network = network;
+    this.book = book;
+    this.balancer = balancer;
+    loop = network.loop();
+    chance = script.chance("calls");
+  }
+
+  void stopped() {
+    stopped = true;
+  }
+
+  void ask(int number) {
+    Fate fate = new Fate(script, number);
+    Connection free = open.stream().filter(c -> c.waiting.size() < DEPTH && !c.ended).findFirst().orElse(null);
+    if (free != null && (free.waiting.isEmpty() || open.size() >= CONNECTIONS)) {
+      free.call(fate);
+    } else if (!stopped) {
+      network.connect(balancer, end -> {
+        Connection c = new Connection(end);
+        open.add(c);
+        end.listener(c);
+        c.call(fate);
+      }, (refused, why) -> {
+        if (!stopped) {
+          book.broken("a connection for calls was refused");
+        }
+      });
+    }
+  }
+
+  void close() {
+    List.copyOf(open).forEach(Connection::leave);
+  }
+
+  /** One connection. */
+  private final class Connection implements Line.Listener {
+    private final Line.End end;
+    private final Outgoing out;
+    private final Map<Integer, Fate> waiting = new HashMap<>();
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final byte[] buffer = new byte[4 << 10];
+    private int lastId;
+    private boolean ended;
+
+    private Connection(Line.End end) {
+      this.end = end;
+      out = new Outgoing(end);
+    }
+
+    private void call(Fate fate) {
+      book.asked(fate);
+      int id = ++lastId;
+      waiting.put(id, fate);
+      out.add(("{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"method\":\"" + fate.type + "\",\"params\":{\"n\":\"" + fate.id
+          + "\",\"left\":" + fate.patience / MS + "}}\n").getBytes(StandardCharsets.US_ASCII));
+      out.then(() -> {
+        book.sentWhole(fate);
+        loop.at(loop.now() + fate.patience + SLACK, () -> late(id, fate));
+      });
+      if (fate.leaving == Leaving.WAITING) {
+        loop.at(loop.now() + fate.leavesAfter, this::leave);
+      } else if (chance.below(ENDS_IN) == 0) {
+        ended = true;
+        out.then(end::finish);
+      }
+    }
+
+    private void late(int id, Fate fate) {
+      if (waiting.remove(id, fate)) {
+        book.lost(fate, "no answer to the call in time");
+      }
+    }
+
+    private void leave() {
+      open.remove(this);
+      waiting.clear();
+      out.drop();
+      end.abort();
+    }
+
+    @Override
+    public void writable() {
+      out.go();
+    }
+
+    @Override
+    public void readable() {
+      while (end.unread() > 0) {
+        int n = end.read(buffer, 0, buffer.length);
+        for (int i = 0; i < n; i++) {
+          if (buffer[i] == '\n') {
+            answer(line.toByteArray());
+            line.reset();
+          } else {
+            line.write(buffer[i]);
+          }
+        }
+      }
+      if (end.reset() || end.over()) {
+        open.remove(this);
+        end.close();
+        if (!stopped) {
+          waiting.values().forEach(f -> book.lost(f, "its connection was ended without an answer to the call"));
+        }
+        waiting.clear();
+      }
+    }
+
+    private void answer(byte[] bytes) {
+      String text = new String(bytes, StandardCharsets.UTF_8);
+      try {
+        answer(Fields.parse("answer", text));
+      } catch (IOException | WireException e) {
+        book.nonsense("a call was answered with " + text + ": " + e.getMessage());
+      }
+    }
+
+    private void answer(Fields reply) {
+      Fate fate = reply.has("id") ? waiting.remove((int) reply.integer("id")) : null;
+      if (fate == null) {
+        book.nonsense("an answer to no call: " + reply.values());
+      } else if (reply.has("result")) {
+        book.answered(fate, 200, reply.text("result").getBytes(StandardCharsets.US_ASCII));
+      } else {
+        long code = reply.nested("error").integer("code");
+        if (code > FAILED || code < NO_ROOM) {
+          book.nonsense("a call was answered with " + reply.values());
+        }
+        book.answered(fate, code <= REFUSED ? 429 : 502, new byte[0]);
+      }
+    }
+  }
+}
--- a/src/main/java/pumicekeel/lab/program/RawServer.java
+++ b/src/main/java/pumicekeel/lab/program/RawServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.LinkedHashSet;
@@ -14,13 +15,14 @@
 final class RawServer implements VirtualNetwork.Acceptor {
 
   /** How an answer goes. */
-  private enum Word { OK, ERROR, TURNED_AWAY, RESET, SILENT, CUT, STALLED, TWICE, NOISE, LAST, THEN_ENDS }
+  private enum Word { OK, ERROR, TURNED_AWAY, RESET, SILENT, CUT, STALLED, TWICE, NOISE, UNASKED, LAST, THEN_ENDS }
 
   private static final long MS = 1_000_000L;
   private static final double MEAN_MS = 12;
   private static final int SLOWER = 10;
   private static final int USUAL = 85;
   private static final int SMALL = 900;
+  private static final int UNASKED_WITHIN = 60_000_000;
   /** One request in so many meets a reset so soon after its first byte, perhaps before its last. */
   private static final int BREAKS_IN = 60;
   private static final int BREAKS_WITHIN = 40_000_000;
@@ -174,7 +176,7 @@
 
     private void came(Message request) {
       begun = false;
-      String id = request.fields().get("x-correlation-id");
+      String id = idOf(request);
       if (busy) {
         book.nonsense("upstream " + number + " was sent " + id + " before it had answered");
         return;
@@ -187,7 +189,8 @@
         word = Word.TURNED_AWAY;
       }
       if (word != Word.TURNED_AWAY) {
-        book.runs(id, number, cell, request.body());
+        boolean call = request.fields().get("x-correlation-id").startsWith("n0-");
+        book.runs(id, number, cell, call ? new byte[0] : request.body());
       }
       if (loop.now() < hangsUntil || word == Word.SILENT) {
         book.spoilt(id);
@@ -198,6 +201,17 @@
       loop.at(loop.now() + takes, () -> answer(id, as, chance));
     }
 
+    /** A call has an id of the balancer's own, and its client's name for it in its params. */
+    private static String idOf(Message request) {
+      String id = request.fields().get("x-correlation-id");
+      if (id == null || !id.startsWith("n0-")) {
+        return id;
+      }
+      String params = URLDecoder.decode(request.first(), StandardCharsets.UTF_8) + new String(request.body(), StandardCharsets.UTF_8);
+      int from = params.indexOf("\"n\":\"") + "\"n\":\"".length();
+      return params.substring(from, params.indexOf('"', from));
+    }
+
     private void answer(String id, Word word, Chance chance) {
       if (!open.contains(this) || cut) {
         return;
@@ -221,6 +235,14 @@
           end.uncut(false);
           rest();
         }
+        case UNASKED -> {
+          // Once the connection is in use again it breaks the next answer; before that it must not be used.
+          whole(id, 200, "", "", chance);
+          loop.at(loop.now() + chance.below(UNASKED_WITHIN), () -> {
+            spoilAll();
+            out.add("X".getBytes(StandardCharsets.US_ASCII));
+          });
+        }
         case LAST -> whole(id, 200, "Connection: close\r\n", "", chance);
         case THEN_ENDS -> {
           whole(id, 200, "", "", chance);
--- a/src/main/java/pumicekeel/lab/program/Script.java
+++ b/src/main/java/pumicekeel/lab/program/Script.java
@@ -9,8 +9,12 @@
 /**
  * What happens in a run, all of it drawn from the seed. What a request or an upstream does is drawn from the seed and its number alone,
  * so steps can be left out and the others stay what they were.
+ *
+ * @param sockets descriptors that the program may hold
+ * @param perSecond requests without bursts
+ * @param pools whether it has an operator file, with a JSON-RPC listener
  */
-record Script(long seed, int servers, int sockets, double perSecond, List<Step> steps) {
+record Script(long seed, int servers, int sockets, double perSecond, boolean pools, List<Step> steps) {
 
   static final long MS = 1_000_000L;
   static final long SECOND = 1_000 * MS;
@@ -19,7 +23,7 @@
   /** One run in so many goes on without a stop: limits have to end what a stop would. */
   private static final int STOPS_NOT_IN = 6;
   private static final Kind[] TROUBLES = {Kind.BURST, Kind.CROWD, Kind.DRAIN, Kind.FRESH, Kind.HANG, Kind.CRASH, Kind.CUT_OFF, Kind.FULL, Kind.SLOW,
-      Kind.IMPATIENT, Kind.WATCH_BREAKS, Kind.WATCH_SILENT, Kind.DRAIN};
+      Kind.IMPATIENT, Kind.WATCH_BREAKS, Kind.WATCH_SILENT, Kind.DRAIN, Kind.RELOAD};
 
   static Script of(long seed) {
     Chance chance = new Chance(seed, "script");
@@ -44,11 +48,15 @@
       steps.add(new Step((long) (end * chance.between(0.6, 1)), Kind.STOP, 0, 0));
     }
     steps.sort(Comparator.comparingLong(Step::at));
-    return new Script(seed, servers, sockets, rate, List.copyOf(steps));
+    return new Script(seed, servers, sockets, rate, chance.below(2) == 0, List.copyOf(steps));
   }
 
-  Script with(List<Step> fewer) {
-    return new Script(seed, servers, sockets, perSecond, List.copyOf(fewer));
+  /** The same with these steps alone, by their numbers from 0; an IllegalArgumentException where there is none of a number. */
+  Script only(List<Integer> numbers) {
+    if (numbers.stream().anyMatch(n -> n < 0 || n >= steps.size())) {
+      throw new IllegalArgumentException("expected steps from 0 to " + (steps.size() - 1) + ", got " + numbers);
+    }
+    return new Script(seed, servers, sockets, perSecond, pools, numbers.stream().map(steps::get).toList());
   }
 
   Chance chance(String of) {
--- a/src/main/java/pumicekeel/lab/program/Step.java
+++ b/src/main/java/pumicekeel/lab/program/Step.java
@@ -37,6 +37,8 @@
     WATCH_BREAKS,
     /** Discovery says nothing for a while. */
     WATCH_SILENT,
+    /** It reads its files again, which say something else. */
+    RELOAD,
     /** The balancer is told to stop. */
     STOP
   }
--- a/src/main/java/pumicekeel/lab/program/VirtualConfig.java
+++ b/src/main/java/pumicekeel/lab/program/VirtualConfig.java
@@ -9,6 +9,7 @@
 final class VirtualConfig extends DefaultChannelConfig {
 
   private final Runnable readsNoMore;
+  private boolean allowsHalfClosure;
 
   VirtualConfig(Channel channel, ByteBufAllocator allocator, Runnable readsNoMore) {
     super(channel);
@@ -16,8 +17,16 @@
     setAllocator(allocator);
   }
 
+  boolean allowsHalfClosure() {
+    return allowsHalfClosure;
+  }
+
   @Override
   public <T> boolean setOption(ChannelOption<T> option, T value) {
+    if (option == ChannelOption.ALLOW_HALF_CLOSURE) {
+      allowsHalfClosure = (Boolean) value;
+      return true;
+    }
     super.setOption(option, value);
     return true;
   }
--- a/src/main/java/pumicekeel/lab/program/VirtualNetwork.java
+++ b/src/main/java/pumicekeel/lab/program/VirtualNetwork.java
@@ -41,6 +41,10 @@
   private static final int SLOW_IN = 15;
   private static final long SLOW_MOST = 245_000_000L;
 
+  /** One look in so many at a socket comes late, where the loop has other things to do. */
+  private static final int LATE_IN = 4;
+  private static final int MOST_LATE = 1_000_000;
+
   private final VirtualLoop loop;
   private final Chance chance;
   private final InetAddress host = InetAddress.getLoopbackAddress();
@@ -48,12 +52,15 @@
   private final Map<Integer, Reach> reach = new HashMap<>();
   private final Set<VirtualSocket> open = new LinkedHashSet<>();
   private final UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false, true);
+  private final Consumer<String> broken;
   private int nextPort = FIRST_PORT;
   private long nextId;
   private int mostOpen;
   private long mostBytes;
 
-  VirtualNetwork(VirtualLoop loop, Chance chance) {
+  /** {@code broken} is told of what the program may not do on its sockets. */
+  VirtualNetwork(VirtualLoop loop, Chance chance, Consumer<String> broken) {
+    this.broken = broken;
     this.loop = loop;
     this.chance = chance;
   }
@@ -75,6 +82,15 @@
     return ((VirtualSocket) channel).quiet();
   }
 
+  /** How long the loop takes until it looks at a socket on which something has come: mostly no time at all. */
+  long untilRead() {
+    return chance.below(LATE_IN) == 0 ? chance.below(MOST_LATE) : 0;
+  }
+
+  void broken(String what) {
+    broken.accept(what);
+  }
+
   VirtualLoop loop() {
     return loop;
   }
--- a/src/main/java/pumicekeel/lab/program/VirtualSocket.java
+++ b/src/main/java/pumicekeel/lab/program/VirtualSocket.java
@@ -4,24 +4,31 @@
 import io.netty.channel.AbstractChannel;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelId;
 import io.netty.channel.ChannelMetadata;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.channels.ClosedChannelException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
 /** A connection of the program, as Netty sees one over TCP: reads when asked to, writes what the other side has room for. */
-final class VirtualSocket extends AbstractChannel implements Line.Listener {
+final class VirtualSocket extends AbstractChannel implements DuplexChannel, Line.Listener {
 
   private static final ChannelMetadata METADATA = new ChannelMetadata(false, 16);
 
+  private static final int METHOD = 5;
+  private static final int LEAST_HEAD = 20;
+
   private final VirtualNetwork network;
   private final VirtualConfig config;
   private Line.End end;
@@ -29,6 +36,8 @@
   private boolean reads;
   private boolean readDue;
   private boolean blocked;
+  private boolean inputOver;
+  private boolean outputOver;
   private ChannelPromise connecting;
   private ScheduledFuture<?> connectTimeout;
 
@@ -58,7 +67,7 @@
   @Override
   protected void doBeginRead() {
     reads = true;
-    if (end != null && !end.quiet()) {
+    if (end != null && !end.quiet() && !(inputOver && end.unread() == 0 && !end.reset())) {
       readLater();
     }
   }
@@ -68,13 +77,30 @@
       readDue = true;
       eventLoop().execute(() -> {
         readDue = false;
-        readable();
+        look();
       });
     }
   }
 
+  /** The loop looks a moment later: what has come by then is read together, and other sockets' events may be first. */
   @Override
   public void readable() {
+    if (readDue || !reads || !open) {
+      return;
+    }
+    long until = network.untilRead();
+    if (until == 0) {
+      look();
+    } else {
+      readDue = true;
+      network.loop().at(network.loop().now() + until, () -> {
+        readDue = false;
+        look();
+      });
+    }
+  }
+
+  private void look() {
     if (!reads || !open || end == null) {
       return;
     }
@@ -82,7 +108,7 @@
     handle.reset(config);
     boolean any = false;
     while (open && end.unread() > 0 && (!any || handle.continueReading())) {
-      ByteBuf buffer = handle.allocate(network.allocator());
+      ByteBuf buffer = network.allocator().heapBuffer(handle.guess());
       handle.attemptedBytesRead(buffer.writableBytes());
       byte[] bytes = new byte[Math.min(buffer.writableBytes(), end.unread())];
       int n = end.read(bytes, 0, bytes.length);
@@ -107,8 +133,11 @@
     if (end.reset()) {
       pipeline().fireExceptionCaught(new IOException("Connection reset"));
       unsafe().close(voidPromise());
-    } else if (end.over()) {
+    } else if (end.over() && !config.allowsHalfClosure()) {
       unsafe().close(voidPromise());
+    } else if (end.over() && !inputOver) {
+      inputOver = true;
+      pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
     }
   }
 
@@ -125,6 +154,9 @@
       if (end.reset()) {
         throw new IOException("Broken pipe");
       }
+      if (parent() == null && !end.quiet() && startsRequest(bytes)) {
+        network.broken("a request was written on a connection on which something was unread");
+      }
       byte[] copy = new byte[bytes.readableBytes()];
       bytes.getBytes(bytes.readerIndex(), copy);
       int sent = end.send(copy, 0, copy.length);
@@ -139,6 +171,11 @@
     network.bytes();
   }
 
+  private static boolean startsRequest(ByteBuf bytes) {
+    return bytes.readableBytes() > LEAST_HEAD && bytes.toString(bytes.readerIndex(), METHOD, StandardCharsets.US_ASCII)
+        .matches("GET /|POST ");
+  }
+
   @Override
   public void writable() {
     if (blocked && open) {
@@ -217,6 +254,58 @@
     }
   }
 
+  @Override
+  protected void doShutdownOutput() {
+    outputOver = true;
+    end.finish();
+  }
+
+  @Override
+  public ChannelFuture shutdownOutput() {
+    return shutdownOutput(newPromise());
+  }
+
+  @Override
+  public ChannelFuture shutdownOutput(ChannelPromise promise) {
+    ((AbstractUnsafe) unsafe()).shutdownOutput(promise);
+    return promise;
+  }
+
+  @Override
+  public ChannelFuture shutdownInput() {
+    return shutdownInput(newPromise());
+  }
+
+  @Override
+  public ChannelFuture shutdownInput(ChannelPromise promise) {
+    return promise.setFailure(new UnsupportedOperationException("nothing here ends its reading alone"));
+  }
+
+  @Override
+  public ChannelFuture shutdown() {
+    return close();
+  }
+
+  @Override
+  public ChannelFuture shutdown(ChannelPromise promise) {
+    return close(promise);
+  }
+
+  @Override
+  public boolean isInputShutdown() {
+    return inputOver || !open;
+  }
+
+  @Override
+  public boolean isOutputShutdown() {
+    return outputOver || !open;
+  }
+
+  @Override
+  public boolean isShutdown() {
+    return isInputShutdown() && isOutputShutdown();
+  }
+
   @Override
   protected void doDisconnect() {
     doClose();
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -238,7 +238,7 @@
    * Takes over from a new configuration what may change while the balancer runs: the address of discovery, and the
    * settings. An IllegalArgumentException says why nothing of it was taken. Waits for the loop, so it is not for it.
    */
-  void reload(Configuration next) {
+  public void reload(Configuration next) {
     serving.check(next);
     loop.submit(() -> {
       Log.line(next.name() + " reloads: discovery at " + next.discovery() + ", "
@@ -257,7 +257,7 @@
    * Takes over a generation of the operator file as a whole, or nothing of it: then an exception says why. Waits for the
    * loop, so it is not for the loop itself.
    */
-  void reload(Operator next) throws IOException, InterruptedException {
+  public void reload(Operator next) throws IOException, InterruptedException {
     services.check(next);
     Map<String, Front> bound = listeners.bind(next);
     String objection;
--- a/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
+++ b/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
@@ -70,7 +70,7 @@
         bodyPending();
       }
       to.send(this, (HttpRequest) headers(new DefaultHttpRequest(HttpVersion.HTTP_1_1, http.method(), http.uri()), request,
-          http, http.upload().length(), sending()), http.upload());
+          http, http.upload().length(), sending()), http.upload(), request.leftNanos());
     }
     if (recordsWriting()) {
       to.whenWritten(this::written);
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -46,6 +46,8 @@
   private static final long KEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
   /** One that takes nothing of a body for so long has vanished, or as good as: the client that sends it can't be kept waiting. */
   private static final long UNTAKEN_NANOS = TimeUnit.SECONDS.toNanos(3);
+  /** Or for that part of the time which its client gives it: the client may have written its last byte long before. */
+  private static final int UNTAKEN_PART = 2;
   /** A buffer that has grown beyond this is not kept for the next answer: there are hundreds of connections. */
   private static final int SMALL = 8 << 10;
 
@@ -60,6 +62,7 @@
   private ScheduledFuture<?> stalled;
   private ScheduledFuture<?> untaken;
   private long untakenBytes;
+  private long untakenNanos;
   private long begunAt;
   private long heardAt;
   /** Where the pieces of this answer go, and those of this request come from; null where they are whole. */
@@ -99,9 +102,10 @@
     written = channel.writeAndFlush(request);
   }
 
-  /** Sends a request whose body still comes. */
-  void send(UpstreamAttempt next, HttpRequest head, Upload from) {
+  /** Sends a request whose body still comes; its client gives it so long from its last byte on. */
+  void send(UpstreamAttempt next, HttpRequest head, Upload from, long leftNanos) {
     begin(next);
+    untakenNanos = Math.min(UNTAKEN_NANOS, leftNanos / UNTAKEN_PART);
     ChannelPromise all = channel.newPromise();
     written = all;
     upload = from;
@@ -150,7 +154,7 @@
       upload.flow(channel.isWritable());
       if (!channel.isWritable() && untaken == null) {
         untakenBytes = unsent();
-        untaken = ctx.executor().schedule(() -> lookAtUntaken(ctx), UNTAKEN_NANOS, TimeUnit.NANOSECONDS);
+        untaken = ctx.executor().schedule(() -> lookAtUntaken(ctx), untakenNanos, TimeUnit.NANOSECONDS);
       }
     }
   }
@@ -171,7 +175,7 @@
       return;
     }
     untakenBytes = unsent();
-    untaken = ctx.executor().schedule(() -> lookAtUntaken(ctx), UNTAKEN_NANOS, TimeUnit.NANOSECONDS);
+    untaken = ctx.executor().schedule(() -> lookAtUntaken(ctx), untakenNanos, TimeUnit.NANOSECONDS);
   }
 
   /** The client of an answer that is passed on takes more, or does not. */
--- /dev/null
+++ b/src/test/java/pumicekeel/lab/program/ProgramRunTest.java
@@ -0,0 +1,85 @@
+package pumicekeel.lab.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pumicekeel.lab.program.Step.Kind;
+
+class ProgramRunTest {
+
+  private static final int SEEDS = 60;
+  /** So few that a crowd of clients has nowhere to go: what must break breaks. */
+  private static final int TOO_FEW = 6;
+
+  @Test
+  void allRulesHold() {
+    int asked = 0;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      ProgramRun.Report r = new ProgramRun(seed).play();
+      assertNull(r.breach(), "lab program --seed " + seed + " --trace: " + r.breach());
+      asked += r.asked();
+    }
+    assertTrue(asked > SEEDS * 50, "asked " + asked);
+  }
+
+  @Test
+  void aSeedIsTheSameRunEachTime() {
+    for (long seed = 100; seed < 105; seed++) {
+      assertEquals(new ProgramRun(seed).play(), new ProgramRun(seed).play(), "seed " + seed);
+    }
+    assertNotEquals(new ProgramRun(100).play().sum(), new ProgramRun(101).play().sum());
+  }
+
+  @Test
+  void everyKindOfTroubleIsMetWithinAThousandSeeds() {
+    List<Kind> met = new ArrayList<>();
+    for (long seed = 1; seed <= 1_000; seed++) {
+      Script.of(seed).steps().forEach(s -> met.add(s.kind()));
+    }
+    for (Kind k : Kind.values()) {
+      assertTrue(met.contains(k), k.toString());
+    }
+  }
+
+  /** A crowd beyond what the program may hold of connections waits in the kernel, and is answered late. */
+  @Test
+  void whatIsBrokenIsCutDownToWhatBreaksIt() {
+    Script broken = crowded();
+    List<String> progress = new ArrayList<>();
+    ProgramShrinker.Shrunk left = new ProgramShrinker(broken, progress::add).shrink();
+    assertNotNull(left);
+    assertTrue(left.steps().size() < broken.steps().size(), left.steps() + " of " + broken.steps().size());
+    assertEquals(left.breach(), new ProgramRun(broken.only(left.steps()), null).play().breach());
+    assertTrue(progress.size() > 1);
+  }
+
+  private static Script crowded() {
+    for (long seed = 1;; seed++) {
+      Script s = Script.of(seed);
+      Script crowded = new Script(seed, s.servers(), TOO_FEW, s.perSecond(), false, s.steps());
+      if (s.steps().size() < 150 && new ProgramRun(crowded, null).play().breach() != null) {
+        return crowded;
+      }
+    }
+  }
+
+  @Test
+  void theTraceTellsWhatWasAskedAndAnswered() {
+    List<String> told = new ArrayList<>();
+    ProgramRun.Report r = new ProgramRun(3, null, told::add).play();
+    assertEquals(r.asked(), told.stream().filter(t -> t.contains("  asked ")).count());
+    assertEquals(r.served(), told.stream().filter(t -> t.contains(", status 200")).count());
+  }
+
+  @Test
+  void stepsThatAreNotThereAreRefused() {
+    assertThrows(IllegalArgumentException.class, () -> new ProgramRun(1, List.of(100_000), null));
+  }
+}
