--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -239,6 +239,11 @@
     tell(new ListNews(kind, list.hosts().stream().map(HostList.Host::listed).toList()));
   }
 
+  /** An upstream that leaves was told to leave at this time already; before the core itself heard of it. */
+  public void leftSince(long upstream, long since) {
+    upstreams.leftSince(upstream, since);
+  }
+
   /** How many upstreams are ready, as the list tells. */
   public int ready() {
     return upstreams.ready();
--- a/src/main/java/pumicekeel/demo/Demo.java
+++ b/src/main/java/pumicekeel/demo/Demo.java
@@ -16,9 +16,10 @@
 import pumicekeel.discovery.HostList;
 import pumicekeel.node.Node;
 import pumicekeel.runtime.Addresses;
-import pumicekeel.standin.StandInClients;
-import pumicekeel.standin.StandInClients.Ask;
-import pumicekeel.standin.StandInClients.End;
+import pumicekeel.load.Load;
+import pumicekeel.load.HttpAsk;
+import pumicekeel.load.Shape;
+import pumicekeel.load.Account.End;
 import pumicekeel.standin.StandInDiscovery;
 import pumicekeel.standin.StandInUpstream;
 
@@ -124,10 +125,10 @@
   private boolean play(Node node, InetSocketAddress address) throws Exception {
     EventLoopGroup clients = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     try {
-      StandInClients quoting = new StandInClients(address, clients,
-          new Ask("quote.example.org", "quote-issue", true, "demo", 2_000), "q", CLIENTS, PER_SECOND, 1).start();
-      StandInClients rating = new StandInClients(address, clients,
-          new Ask("rates.example.org", "rate-lookup", false, "demo", 1_500), "r", CLIENTS, PER_SECOND, 2).start();
+      Load quoting = new Load(address, clients,
+          new HttpAsk("quote.example.org", "quote-issue", true, "demo", 2_000), Shape.steady(CLIENTS, PER_SECOND), "q", 1).start();
+      Load rating = new Load(address, clients,
+          new HttpAsk("rates.example.org", "rate-lookup", false, "demo", 1_500), Shape.steady(CLIENTS, PER_SECOND), "r", 2).start();
       startedAt = System.nanoTime();
       at(0.2, () -> {
         upstreams.get("quote-0").kill();
@@ -162,7 +163,7 @@
   }
 
   /** Waits for a part of the time, with a line a second, then does something. */
-  private void at(double part, Step step, StandInClients quoting, StandInClients rating) throws Exception {
+  private void at(double part, Step step, Load quoting, Load rating) throws Exception {
     long end = startedAt + (long) (part * seconds * 1e9);
     while (System.nanoTime() - end < 0) {
       TimeUnit.NANOSECONDS.sleep(Math.min(1_000_000_000L, Math.max(1, end - System.nanoTime())));
@@ -181,15 +182,15 @@
 
   // ---- The verdict --------------------------------------------------------------------------------------
 
-  private boolean report(Map<String, StandInClients> byPool) {
+  private boolean report(Map<String, Load> byPool) {
     out.println();
     out.println("pool class              asked  served refused  failed    p50 ms  p99 ms   seen by upstreams");
-    Map<String, StandInClients> rows = new TreeMap<>(byPool);
+    Map<String, Load> rows = new TreeMap<>(byPool);
     rows.forEach((name, c) -> out.printf("%-20s %8d %7d %7d %7d  %8.1f %7.1f  %8d%n", name, c.asked(),
-        c.count(End.SERVED), c.count(End.REFUSED), c.count(End.FAILED), c.latency().getValueAtPercentile(50) / 1e3,
-        c.latency().getValueAtPercentile(99) / 1e3, seen(name.split(" ")[1])));
+        c.count(End.SERVED), c.count(End.REFUSED), c.count(End.FAILED), c.account().latency().getValueAtPercentile(50) / 1e3,
+        c.account().latency().getValueAtPercentile(99) / 1e3, seen(name.split(" ")[1])));
     Verdict verdict = Verdict.ofUpstreams(upstreams, groups);
-    rows.values().forEach(verdict::noneLost);
+    rows.forEach((name, c) -> verdict.noneLost(name, c.account()));
     verdict.noneTwice();
     verdict.drainKept("shared", "quote-issue", quotes.toldAt("shared", "terminating"), GRACE_MILLIS);
     verdict.stillServes("shared", "rate-lookup", quotes.toldAt("shared", "terminating"));
--- a/src/main/java/pumicekeel/demo/RpcDemo.java
+++ b/src/main/java/pumicekeel/demo/RpcDemo.java
@@ -16,9 +16,10 @@
 import pumicekeel.node.Node;
 import pumicekeel.runtime.Addresses;
 import pumicekeel.standin.StandInDiscovery;
-import pumicekeel.standin.StandInRpcClients;
-import pumicekeel.standin.StandInRpcClients.Ask;
-import pumicekeel.standin.StandInRpcClients.End;
+import pumicekeel.load.Load;
+import pumicekeel.load.RpcAsk;
+import pumicekeel.load.Shape;
+import pumicekeel.load.Account.End;
 import pumicekeel.standin.StandInRpcFaults;
 import pumicekeel.standin.StandInRpcServer;
 
@@ -120,15 +121,15 @@
         new HostList(0, true, List.of()), DemoSettings.settings());
   }
 
-  private StandInRpcClients clients(InetSocketAddress at, String method, long deadline, int depth, int batch, int leaves,
+  private Load clients(InetSocketAddress at, String method, long deadline, int depth, int batch, int leaves,
       String prefix, int count) {
-    return new StandInRpcClients(at, clientLoops, new Ask(method, "demo", deadline, depth, batch, leaves), prefix,
-        Math.max(1, count), seed, true).start();
+    return new Load(at, clientLoops, new RpcAsk(method, "demo", deadline), new Shape(Math.max(1, count), Double.POSITIVE_INFINITY, depth,
+        batch, leaves), prefix, seed, true).start();
   }
 
   private boolean play(Node node, InetSocketAddress at) throws Exception {
     startedAt = System.nanoTime();
-    Map<String, StandInRpcClients> all = new TreeMap<>();
+    Map<String, Load> all = new TreeMap<>();
     all.put("lookups, singly", clients(at, "rate.lookup", 1_500, 2, 1, 1, "r", connections / 2));
     all.put("lookups, in batches", clients(at, "rate.lookup", 1_500, 4, 4, 1, "b", connections / 8));
     all.put("quotes, singly", clients(at, "quote.issue", 2_000, 1, 1, 1, "q", connections * 3 / 8));
@@ -146,7 +147,7 @@
     add("cold");
     say("cold joins");
     wait(all, 1);
-    for (StandInRpcClients c : all.values()) {
+    for (Load c : all.values()) {
       c.stop();
     }
     node.drain();
@@ -155,7 +156,7 @@
   }
 
   /** Waits for a part of the time, with a line a second. */
-  private void wait(Map<String, StandInRpcClients> all, double part) throws InterruptedException {
+  private void wait(Map<String, Load> all, double part) throws InterruptedException {
     long end = startedAt + (long) (part * seconds * 1e9);
     while (System.nanoTime() - end < 0) {
       TimeUnit.NANOSECONDS.sleep(Math.min(1_000_000_000L, Math.max(1, end - System.nanoTime())));
@@ -170,16 +171,16 @@
     out.printf("%5.1f s  %s%n", (System.nanoTime() - startedAt) / 1e9, what);
   }
 
-  private boolean report(Map<String, StandInRpcClients> all) {
+  private boolean report(Map<String, Load> all) {
     out.println();
     out.println("calls                  asked  served refused  failed    left    p50 ms  p99 ms");
     all.forEach((name, c) -> out.printf("%-20s %8d %7d %7d %7d %7d  %8.1f %7.1f%n", name, c.asked(),
-        c.count(End.SERVED), c.count(End.REFUSED), c.count(End.FAILED), c.left(),
-        c.latency().getValueAtPercentile(50) / 1e3, c.latency().getValueAtPercentile(99) / 1e3));
+        c.count(End.SERVED), c.count(End.REFUSED), c.count(End.FAILED), c.account().left(),
+        c.account().latency().getValueAtPercentile(50) / 1e3, c.account().latency().getValueAtPercentile(99) / 1e3));
     Verdict verdict = Verdict.ofServers(servers, CELLS, call -> nameIn(call));
-    all.values().forEach(verdict::noneLost);
-    all.values().forEach(c -> verdict.servedWasSeen(c, Verdict.Ran::name));
-    verdict.refusedNeverRan(all.get("quotes, singly"));
+    all.forEach((name, c) -> verdict.noneLost(name, c.account()));
+    all.values().forEach(c -> verdict.servedWasSeen(c.account(), Verdict.Ran::name));
+    verdict.refusedNeverRan(all.get("quotes, singly").account());
     verdict.noneTwice();
     verdict.drainKept("s3", "quote.issue", discovery.toldAt("s3", "terminating"), GRACE_MILLIS);
     verdict.drainKept("s3", "rate.lookup", discovery.toldAt("s3", "terminating"), GRACE_MILLIS);
--- a/src/main/java/pumicekeel/demo/Verdict.java
+++ b/src/main/java/pumicekeel/demo/Verdict.java
@@ -10,9 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
-import pumicekeel.standin.StandInClients;
-import pumicekeel.standin.StandInClients.End;
-import pumicekeel.standin.StandInRpcClients;
+import pumicekeel.load.Account;
 import pumicekeel.standin.StandInRpcServer;
 import pumicekeel.standin.StandInUpstream;
 
@@ -62,36 +60,25 @@
     lines.add((held ? "held    " : "BROKEN  ") + what + ": " + detail);
   }
 
-  /** Rule 1: each request got exactly one final answer in time, and the right one. */
-  public void noneLost(StandInClients clients) {
-    long wrong = clients.count(End.LOST) + clients.count(End.LATE) + clients.count(End.WRONG);
-    rule("no request lost", wrong == 0 && clients.unended() == 0 && clients.asked() > 0, clients.asked() + " asked, "
-        + wrong + " lost, late or wrong, " + clients.unended() + " without an end"
-        + (clients.faults().isEmpty() ? "" : " " + clients.faults()));
+  /** Rule 1: each request or call got exactly one final answer in time, and the right one. */
+  public void noneLost(String what, Account account) {
+    noneLost(what, List.of(account));
   }
 
   /** Rule 1 for clients of many balancers together. */
-  public void noneLostOfAll(String what, List<StandInClients> all) {
-    long asked = all.stream().mapToLong(StandInClients::asked).sum();
-    long wrong = all.stream().mapToLong(c -> c.count(End.LOST) + c.count(End.LATE) + c.count(End.WRONG)).sum();
-    long unended = all.stream().mapToLong(StandInClients::unended).sum();
+  public void noneLost(String what, List<Account> all) {
+    long asked = all.stream().mapToLong(Account::asked).sum();
+    long left = all.stream().mapToLong(Account::left).sum();
+    long wrong = all.stream().mapToLong(Account::wrong).sum();
+    long unended = all.stream().mapToLong(Account::unended).sum();
     List<String> faults = all.stream().flatMap(c -> c.faults().stream()).limit(5).toList();
-    rule("no request lost", wrong == 0 && unended == 0 && asked > 0, asked + " " + what + " at " + all.size()
-        + " instances, " + wrong + " lost, late or wrong, " + unended + " without an end"
-        + (faults.isEmpty() ? "" : " " + faults));
-  }
-
-  /** Rule 1 for calls. */
-  public void noneLost(StandInRpcClients clients) {
-    long wrong = clients.count(StandInRpcClients.End.LOST) + clients.count(StandInRpcClients.End.LATE)
-        + clients.count(StandInRpcClients.End.WRONG);
-    rule("no call lost", wrong == 0 && clients.unended() == 0 && clients.asked() > 0, clients.asked() + " asked, "
-        + clients.left() + " left by their clients, " + wrong + " lost, late or wrong, " + clients.unended()
-        + " without an end" + (clients.faults().isEmpty() ? "" : " " + clients.faults()));
+    rule("no request lost", wrong == 0 && unended == 0 && asked > 0, asked + " " + what + " asked"
+        + (all.size() == 1 ? "" : " at " + all.size() + " instances") + (left == 0 ? "" : ", " + left + " left by their clients") + ", " + wrong
+        + " lost, late or wrong, " + unended + " without an end" + (faults.isEmpty() ? "" : " " + faults));
   }
 
   /** Each call that its client holds for served was seen by a server. */
-  public void servedWasSeen(StandInRpcClients clients, Function<Ran, String> name) {
+  public void servedWasSeen(Account clients, Function<Ran, String> name) {
     Set<String> seen = new HashSet<>();
     upstreams.values().forEach(u -> u.get().forEach(r -> seen.add(name.apply(r))));
     long never = clients.served().stream().filter(n -> !seen.contains(n)).count();
@@ -99,7 +86,7 @@
   }
 
   /** A keyed call that its client was told to be refused, where only servers of one cell drop repeats, never ran. */
-  public void refusedNeverRan(StandInRpcClients clients) {
+  public void refusedNeverRan(Account clients) {
     Set<String> ran = new HashSet<>();
     upstreams.values().forEach(u -> u.get().forEach(r -> ran.add(r.key())));
     long untrue = clients.refused().stream().filter(ran::contains).count();
--- a/src/main/java/pumicekeel/lab/program/RawCalls.java
+++ b/src/main/java/pumicekeel/lab/program/RawCalls.java
@@ -126,14 +126,16 @@
     public void readable() {
       while (end.unread() > 0) {
         int n = end.read(buffer, 0, buffer.length);
+        int from = 0;
         for (int i = 0; i < n; i++) {
           if (buffer[i] == '\n') {
+            line.write(buffer, from, i - from);
             answer(line.toByteArray());
             line.reset();
-          } else {
-            line.write(buffer[i]);
+            from = i + 1;
           }
         }
+        line.write(buffer, from, n - from);
       }
       if (end.reset() || end.over()) {
         open.remove(this);
--- a/src/main/java/pumicekeel/measure/Torture.java
+++ b/src/main/java/pumicekeel/measure/Torture.java
@@ -23,9 +23,10 @@
 import pumicekeel.journal.History;
 import pumicekeel.journal.Story;
 import pumicekeel.runtime.Addresses;
-import pumicekeel.standin.StandInClients;
-import pumicekeel.standin.StandInClients.Ask;
-import pumicekeel.standin.StandInClients.End;
+import pumicekeel.load.Load;
+import pumicekeel.load.HttpAsk;
+import pumicekeel.load.Shape;
+import pumicekeel.load.Account.End;
 import pumicekeel.standin.StandInUpstream;
 import pumicekeel.standin.StandInUpstream.Mode;
 import pumicekeel.standin.StandInUpstream.Seen;
@@ -117,11 +118,11 @@
     upstreams.forEach(u -> u.mode(Mode.SERVE));
     upstreams.get(random.nextInt(upstreams.size())).mode(Mode.values()[random.nextInt(Mode.values().length)]);
     Process process = start(kill / KILLS_A_FOLDER);
-    StandInClients load = null;
+    Load load = null;
     try {
       InetSocketAddress address = address(process);
-      load = new StandInClients(address, group, new Ask("h", "quote-issue", true, "t", 3_000), "k" + kill, CLIENTS,
-          PER_SECOND, kill).recordServed(told).start();
+      load = new Load(address, group, new HttpAsk("h", "quote-issue", true, "t", 3_000), Shape.steady(CLIENTS, PER_SECOND), "k" + kill, kill,
+          true).start();
       long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
       while (load.count(End.SERVED) < 20 && System.nanoTime() - end < 0) {
         TimeUnit.MILLISECONDS.sleep(2);
@@ -130,7 +131,7 @@
     } finally {
       process.destroyForcibly().waitFor();
       if (load != null) {
-        load.stop();
+        told.addAll(load.stop().served());
       }
     }
   }
--- a/src/main/java/pumicekeel/upstream/UpstreamTable.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamTable.java
@@ -108,6 +108,14 @@
     }
   }
 
+  /** One that leaves was told to leave as long ago as this already, by a list that others followed before. */
+  public void leftSince(long id, long since) {
+    Entry e = entries.get(id);
+    if (e != null && e.leavingSince != 0) {
+      e.leavingSince = Math.min(e.leavingSince, since);
+    }
+  }
+
   public void started(Entry e) {
     e.out++;
   }
