--- a/src/main/java/pumicekeel/cli/LabCommand.java
+++ b/src/main/java/pumicekeel/cli/LabCommand.java
@@ -37,7 +37,7 @@
 @Command(name = "lab", mixinStandardHelpOptions = true,
     description = "Try policies on whole fleets in virtual time, compare them, and see why.",
     subcommands = {LabCommand.Run.class, LabCommand.Compare.class, LabCommand.MakeReport.class, LabCommand.Explain.class,
-        LabCommand.Shrink.class, LabCommand.Program.class, LabCommand.Play.class, LabCommand.Real.class})
+        LabCommand.Shrink.class, LabCommand.Program.class, LabCommand.Play.class, LabCommand.Real.class, SubsetsCommand.class})
 final class LabCommand implements Callable<Integer> {
 
   @Spec
--- a/src/main/java/pumicekeel/lab/experiment/Experiment.java
+++ b/src/main/java/pumicekeel/lab/experiment/Experiment.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import pumicekeel.config.Fault;
 import pumicekeel.config.OperatorFile;
 import pumicekeel.config.Section;
@@ -63,8 +64,8 @@
 
   private static Experiment read(Section s) {
     String name = s.needed("name", "the experiment's name");
-    List<String> worlds = chosen(s, "worlds", Worlds.names());
-    List<String> policies = chosen(s, "policies", Policies.names());
+    List<String> worlds = chosen(s, "worlds", Worlds.names(), Worlds.names()::contains);
+    List<String> policies = chosen(s, "policies", Policies.names(), p -> Policies.of(p) != null);
     List<Integer> balancers = s.integers("balancers", 1, WorldSpec.MOST_BALANCERS);
     Double each = s.number("servers-per-balancer", 0.01, 1_000);
     Long first = s.integer("first-seed", 0, Long.MAX_VALUE);
@@ -112,14 +113,14 @@
     return values.isEmpty() ? List.of(0.0) : values;
   }
 
-  private static List<String> chosen(Section s, String key, List<String> known) {
+  private static List<String> chosen(Section s, String key, List<String> known, Predicate<String> good) {
     List<String> chosen = s.texts(key);
     if (chosen == null || chosen.isEmpty()) {
       s.fault(key, "expected some of " + known + ", got nothing");
       return known;
     }
     for (String one : chosen) {
-      if (!known.contains(one)) {
+      if (!good.test(one)) {
         s.fault(key, "expected one of " + known + ", got \"" + one + "\"");
       }
     }
--- a/src/main/java/pumicekeel/lab/policy/Policies.java
+++ b/src/main/java/pumicekeel/lab/policy/Policies.java
@@ -2,12 +2,17 @@
 
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import pumicekeel.AdaptiveBalancer;
 import pumicekeel.Balancer;
 import pumicekeel.Balancer.Settings;
+import pumicekeel.subset.SubsetBalancer;
+import pumicekeel.subset.Subsets;
 
 /** Policies by name: the project's own, and what a user would pick instead. */
 public final class Policies {
@@ -21,6 +26,10 @@
   public static final String OWN = "adaptive";
   private static final Map<String, Maker> ALL = all();
 
+  private static final Pattern SUBSET = Pattern.compile("adaptive-(random|rounds|rendezvous|aperture)-(\\d{1,4})");
+  /** As the lab's worlds have them where nothing else is said. */
+  private static final int UPSTREAMS_EACH = 5;
+
   private Policies() {}
 
   private static Map<String, Maker> all() {
@@ -36,6 +45,18 @@
     return all;
   }
 
+  /** The project's own on a subset: {@code adaptive-rounds-25} and the like, of so many upstreams. */
+  private static Maker subset(String name) {
+    Matcher m = SUBSET.matcher(name);
+    if (!m.matches() || Integer.parseInt(m.group(2)) < 1) {
+      return null;
+    }
+    Subsets way = Subsets.valueOf(m.group(1).toUpperCase(Locale.ROOT));
+    int size = Integer.parseInt(m.group(2));
+    return (settings, seed, oracle) -> new SubsetBalancer(settings, way, size, settings.groupSize() * UPSTREAMS_EACH,
+        s -> new AdaptiveBalancer(s, seed));
+  }
+
   private static Maker textbook(Function<SplittableRandom, Choice> choice) {
     return (settings, seed, oracle) -> new TextbookBalancer(settings, seed, choice);
   }
@@ -46,6 +67,6 @@
 
   /** The policy of a name; null for none. */
   public static Maker of(String name) {
-    return ALL.get(name);
+    return ALL.containsKey(name) ? ALL.get(name) : subset(name);
   }
 }
--- /dev/null
+++ b/src/main/java/pumicekeel/subset/Subsets.java
@@ -0,0 +1,106 @@
+package pumicekeel.subset;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Which upstreams each balancer of a fleet works with, by ids alone: the same answer at every balancer that knows the same list, without a
+ * word between them. Pure; ids are given in ascending order.
+ */
+public enum Subsets {
+
+  /** Each balancer draws its own; nothing balances them. */
+  RANDOM {
+    @Override
+    public Map<Long, Double> of(int member, int members, List<Long> upstreams, int size) {
+      List<Long> all = shuffled(upstreams, SEED + member);
+      return even(all.subList(0, Math.min(size, all.size())));
+    }
+  },
+
+  /**
+   * Rounds (Beyer and others, Site Reliability Engineering, chapter 20): as many balancers as subsets fit share one shuffled list among
+   * them, so each round loads every upstream once.
+   */
+  ROUNDS {
+    @Override
+    public Map<Long, Double> of(int member, int members, List<Long> upstreams, int size) {
+      int parts = Math.max(1, upstreams.size() / Math.max(1, size));
+      List<Long> all = shuffled(upstreams, SEED + member / parts);
+      int part = member % parts;
+      // What is left over goes to the parts, one each: nobody is in no part.
+      int from = (int) ((long) upstreams.size() * part / parts);
+      int to = (int) ((long) upstreams.size() * (part + 1) / parts);
+      return even(all.subList(from, to));
+    }
+  },
+
+  /** Rendezvous hashing (Thaler and Ravishankar 1998): those that score highest for this balancer. */
+  RENDEZVOUS {
+    @Override
+    public Map<Long, Double> of(int member, int members, List<Long> upstreams, int size) {
+      return even(upstreams.stream().sorted(Comparator.comparingLong((Long id) -> mix(id ^ mix(member + SEED)))).limit(size).toList());
+    }
+  },
+
+  /**
+   * Deterministic aperture (Finagle): balancers and upstreams stand at even distances on one ring; each balancer takes what its own part of the
+   * ring covers, and those at the ends by as much of them as it covers.
+   */
+  APERTURE {
+    @Override
+    public Map<Long, Double> of(int member, int members, List<Long> upstreams, int size) {
+      int n = upstreams.size();
+      // Whole turns of the ring, so that all together cover every point equally often.
+      long turns = Math.max(1, Math.round((double) members * Math.min(size, n) / n));
+      double width = (double) turns / members;
+      List<Long> ring = shuffled(upstreams, SEED);
+      Map<Long, Double> out = new LinkedHashMap<>();
+      double from = (double) member / members * n;
+      double to = from + Math.min(1, width) * n;
+      for (double at = from; at < to - EDGE; at = Math.floor(at + EDGE) + 1) {
+        double part = Math.min(to, Math.floor(at + EDGE) + 1) - at;
+        out.merge(ring.get((int) Math.floor(at + EDGE) % n), part, Double::sum);
+      }
+      return out;
+    }
+  };
+
+  private static final long SEED = 0x5eed;
+  /** Rounding of positions on the ring. */
+  private static final double EDGE = 1e-9;
+
+  /**
+   * The upstreams of one balancer, and how much of each in shares of one.
+   *
+   * @param member the balancer's number, from 0
+   * @param upstreams all ids, ascending
+   * @param size how many are wanted, 1 on; all where there are no more
+   */
+  public abstract Map<Long, Double> of(int member, int members, List<Long> upstreams, int size);
+
+  private static Map<Long, Double> even(List<Long> ids) {
+    Map<Long, Double> out = new LinkedHashMap<>();
+    ids.forEach(id -> out.put(id, 1.0));
+    return out;
+  }
+
+  private static List<Long> shuffled(List<Long> ids, long seed) {
+    // By hash and not by place: one that comes or goes leaves the others' order as it was.
+    List<Long> out = new ArrayList<>(ids);
+    long by = new SplittableRandom(seed).nextLong();
+    out.sort(Comparator.comparingLong(id -> mix(id ^ by)));
+    return out;
+  }
+
+  /** The finalizer of MurmurHash3. */
+  private static long mix(long x) {
+    long h = (x ^ x >>> 33) * 0xff51afd7ed558ccdL;
+    h = (h ^ h >>> 33) * 0xc4ceb9fe1a85ec53L;
+    return h ^ h >>> 33;
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/subset/SubsetsTest.java
@@ -0,0 +1,91 @@
+package pumicekeel.subset;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import pumicekeel.Balancer;
+import pumicekeel.Balancer.ListKind;
+import pumicekeel.Balancer.ListNews;
+import pumicekeel.Balancer.Listed;
+import pumicekeel.Balancer.State;
+
+class SubsetsTest {
+
+  private static final List<Long> IDS = LongStream.range(0, 103).boxed().toList();
+
+  @ParameterizedTest
+  @EnumSource(Subsets.class)
+  void allOfThemWhereThereAreNoMoreThanWanted(Subsets way) {
+    assertEquals(103, way.of(3, 20, IDS, 103).size());
+    assertEquals(103, way.of(0, 1, IDS, 200).size());
+  }
+
+  @ParameterizedTest
+  @EnumSource(Subsets.class)
+  void theSameAnswerEachTimeAndAboutAsManyAsWanted(Subsets way) {
+    for (int m = 0; m < 20; m++) {
+      Map<Long, Double> own = way.of(m, 20, IDS, 25);
+      assertEquals(own, way.of(m, 20, IDS, 25));
+      assertTrue(own.size() >= 25 && own.size() <= 32, way + " gives " + own.size());
+    }
+  }
+
+  /** Finagle's claim: with weighted ends, every upstream has the same load whatever the numbers are. */
+  @Test
+  void apertureLoadsAllAlike() {
+    for (int balancers : new int[] {1, 3, 20, 37}) {
+      SubsetFigures f = SubsetFigures.of(Subsets.APERTURE, balancers, 103, 25);
+      assertEquals(1, f.most(), 1e-6, balancers + " balancers");
+      assertEquals(1, f.least(), 1e-6, balancers + " balancers");
+    }
+  }
+
+  @Test
+  void roundsLoadAllAlikeWhereTheyFit() {
+    SubsetFigures f = SubsetFigures.of(Subsets.ROUNDS, 20, 100, 25);
+    assertEquals(1, f.most(), 1e-9);
+    assertEquals(5, f.connections());
+  }
+
+  @Test
+  void rendezvousMovesLeast() {
+    SubsetFigures f = SubsetFigures.of(Subsets.RENDEZVOUS, 40, 200, 20);
+    assertTrue(f.movedByUpstream() < 0.02, "moved " + f.movedByUpstream());
+    assertEquals(0, f.movedByBalancer());
+  }
+
+  /** What reaches the module is a subset, kept up as upstreams come and go; who leaves it is drained first. */
+  @Test
+  void aModuleIsToldOfItsSubsetAlone() {
+    List<ListNews> heard = new ArrayList<>();
+    Balancer module = (now, event, out) -> heard.add((ListNews) event);
+    Balancer own = new SubsetBalancer(settings(), Subsets.RENDEZVOUS, 5, 50, s -> module);
+    List<Listed> lines = IDS.subList(0, 50).stream().map(id -> line(id, State.READY)).toList();
+    own.handle(0, new ListNews(ListKind.FULL, lines), a -> { });
+    assertEquals(5, heard.get(0).entries().size());
+    Listed mine = heard.get(0).entries().get(0);
+    own.handle(1, new ListNews(ListKind.DELTA, List.of(line(mine.upstream(), State.DRAINING))), a -> { });
+    List<Listed> then = heard.get(1).entries();
+    assertEquals(2, then.size(), "the one that drains, and another in its place: " + then);
+    own.handle(2, new ListNews(ListKind.DELTA, List.of(line(mine.upstream(), State.READY))), a -> { });
+    assertTrue(heard.get(2).entries().stream().anyMatch(l -> l.upstream() == mine.upstream() && l.state() == State.READY));
+    assertEquals(1, heard.get(2).entries().stream().filter(l -> l.state() == State.DRAINING).count());
+  }
+
+  private static Listed line(long id, State state) {
+    return new Listed(id, "a", 0, state, 0, 1);
+  }
+
+  private static Balancer.Settings settings() {
+    return new Balancer.Settings(2, 20, "a", List.of(new Balancer.RequestClass("c", Balancer.Effect.SAFE, Balancer.DedupScope.ALL, 0, 1, 0, 1, 1,
+        0, false)), List.of(), new Balancer.Limits(true, false, false, false, true, 1, 3, 10, 1, 1, 1), new Balancer.Contract(0, 0, 1, 0.3, 1, 3,
+        1), new Balancer.Prices(0, 0, 0), false, Balancer.WeightKind.NONE, 0, true, 1);
+  }
+}
