--- a/src/test/java/pumicekeel/lab/program/ProgramRunTest.java
+++ b/src/test/java/pumicekeel/lab/program/ProgramRunTest.java
@@ -70,6 +70,24 @@
     }
   }
 
+  /** All upstreams vanish while large bodies are on their way: without a limit their clients would wait for twenty minutes. */
+  @Test
+  void uploadsToUpstreamsThatVanishEnd() {
+    Script any = Script.of(5);
+    List<Step> steps = new ArrayList<>();
+    for (int number = 0; number < 600; number++) {
+      Fate f = new Fate(any, number);
+      if (f.bodySize > 200_000 && f.owed() && !f.slowReader && f.effect != pumicekeel.Balancer.Effect.SAFE) {
+        steps.add(new Step(500 * Script.MS, Kind.ASK, number, 0));
+      }
+    }
+    for (int i = 0; i < any.servers(); i++) {
+      steps.add(new Step(503 * Script.MS, Kind.CUT_OFF, i, 60 * Script.SECOND));
+    }
+    assertTrue(steps.size() > any.servers() + 3, "uploads: " + steps.size());
+    assertNull(new ProgramRun(new Script(5, any.servers(), 200, 20, false, steps), null).play().breach());
+  }
+
   @Test
   void theTraceTellsWhatWasAskedAndAnswered() {
     List<String> told = new ArrayList<>();
