A small loan of a quota grows: one that lends already may be asked for more

QuotaExchange.others left out every member that lends already (borrowsFrom), and a renewal asked for min(due, ...), never more than the first loan. With two members, or once all others had lent a little, nothing could grow: a member that grows slowly starved beside idle ones.

Change: a lender may be asked for a larger part, which takes the place of the smaller one in both books; a smaller one runs beside it until the larger ends, so the lender still reserves at least what the borrower may use. An answer short of what was asked counts as declined for a moment.

--- a/src/main/java/pumicekeel/cli/SimCommand.java
+++ b/src/main/java/pumicekeel/cli/SimCommand.java
@@ -189,11 +189,18 @@
     @Option(names = "--calm", description = "No faults: only demand moves.")
     private boolean calm;
 
+    @Option(names = "--rising", description = "No faults: one member's demand rises from nothing to the quota in small steps.")
+    private boolean rising;
+
     @Override
     public Integer call() {
       if (runs < 1 || runs > 10_000_000 || size != null && (size < 2 || size > 1_000)) {
         throw new ParameterException(spec.commandLine(), "expected --runs 1 to 10000000, --size 2 to 1000");
       }
+      if (calm && rising) {
+        throw new ParameterException(spec.commandLine(), "expected --calm or --rising, got both");
+      }
+      QuotaSim.Course course = calm ? QuotaSim.Course.CALM : rising ? QuotaSim.Course.RISING : QuotaSim.Course.FAULTS;
       PrintWriter out = spec.commandLine().getOut();
       double shared = 0;
       double fixed = 0;
@@ -201,7 +208,7 @@
       for (long i = 0; i < runs; i++) {
         long s = seed + i;
         int of = sizeOf(size, s);
-        QuotaSim.Report r = new QuotaSim(s, of).run(!calm);
+        QuotaSim.Report r = new QuotaSim(s, of).run(course);
         if (r.fault() != null) {
           out.println("seed " + s + ": " + r.fault() + "; again by sim quotas --seed " + s + " --size " + of);
           return 1;
--- a/src/main/java/pumicekeel/quota/QuotaExchange.java
+++ b/src/main/java/pumicekeel/quota/QuotaExchange.java
@@ -201,7 +201,7 @@
     double lacks = -surplus - underWay(t);
     int[] others = lacks > least ? others(t, lacks, now, live) : new int[0];
     for (int lender : others) {
-      send(t, lender, Math.max(least, lacks / others.length), now, out);
+      send(t, lender, t.ledger.from(lender) + Math.max(least, lacks / others.length), now, out);
     }
   }
 
@@ -209,15 +209,16 @@
     return asked.values().stream().anyMatch(a -> a.lender() == lender && a.tenant() == t.id);
   }
 
+  /** What answers that are waited for would add. */
   private double underWay(Tenant t) {
-    return asked.values().stream().filter(a -> a.tenant() == t.id && !t.ledger.borrowsFrom(a.lender()))
-        .mapToDouble(Asked::perSecond).sum();
+    return asked.values().stream().filter(a -> a.tenant() == t.id)
+        .mapToDouble(a -> Math.max(0, a.perSecond() - t.ledger.from(a.lender()))).sum();
   }
 
-  /** Some that live, do not lend yet and have not just declined. */
+  /** Some that live and have not just declined; one that lends already may have more to lend. */
   private int[] others(Tenant t, double lacks, long now, BitSet live) {
     t.declinedUntil.values().removeIf(until -> now - until >= 0);
-    int[] can = live.stream().filter(m -> m != self && m < size && !t.ledger.borrowsFrom(m)
+    int[] can = live.stream().filter(m -> m != self && m < size
         && !t.declinedUntil.containsKey(m) && !isAsked(t, m)).toArray();
     int needed = (int) Math.ceil(Math.min(MOST_ASKS, lacks / (settings.lendablePart() * t.ledger.share())));
     int count = Math.min(Math.max(settings.askedAtOnce(), needed), can.length);
@@ -297,9 +298,10 @@
       return;
     }
     asked.remove(m.sequence());
-    if (m.perSecond() == 0) {
+    if (m.perSecond() < a.perSecond()) {
       t.declinedUntil.put(m.from(), now + settings.declinedNanos());
-    } else if (now - a.at() < settings.leaseNanos()) {
+    }
+    if (m.perSecond() > 0 && now - a.at() < settings.leaseNanos()) {
       t.ledger.borrow(m.from(), m.perSecond(), a.at());
       touched(now);
     }
--- a/src/main/java/pumicekeel/quota/QuotaLedger.java
+++ b/src/main/java/pumicekeel/quota/QuotaLedger.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -27,7 +28,8 @@
   private final double share;
   private final long keptBackUntil;
   private final Map<Integer, ArrayDeque<Lease>> lent = new HashMap<>();
-  private final Map<Integer, Lease> borrowed = new HashMap<>();
+  /** Of each lender what still runs, the largest first: one that ends later is there only if it is smaller. */
+  private final Map<Integer, ArrayDeque<Lease>> borrowed = new HashMap<>();
   private final double[] slots = new double[SLOTS + 1];
   private int slot;
   private long slotEnds;
@@ -78,40 +80,48 @@
   /** Requests a second that this member may admit as within the quota. */
   double usable(long now) {
     double own = share - Math.max(lentOut(now), now - keptBackUntil < 0 ? settings.lendablePart() * share : 0);
-    for (Iterator<Lease> it = borrowed.values().iterator(); it.hasNext();) {
-      Lease lease = it.next();
-      if (now - lease.until() >= 0) {
-        it.remove();
-      } else {
-        own += lease.perSecond();
-      }
-    }
-    return Math.max(0, own);
+    return Math.max(0, own + running(borrowed, now));
   }
 
   /** What counts for borrowers: of each the largest that runs, as the last word that reached it is not known here. */
   private double lentOut(long now) {
+    return running(lent, now);
+  }
+
+  private static double running(Map<Integer, ArrayDeque<Lease>> book, long now) {
     double sum = 0;
-    for (Iterator<ArrayDeque<Lease>> it = lent.values().iterator(); it.hasNext();) {
+    for (Iterator<ArrayDeque<Lease>> it = book.values().iterator(); it.hasNext();) {
       ArrayDeque<Lease> leases = it.next();
       leases.removeIf(l -> now - l.until() >= 0);
       if (leases.isEmpty()) {
         it.remove();
+      } else {
+        sum += leases.peekFirst().perSecond();
       }
-      sum += leases.stream().mapToDouble(Lease::perSecond).max().orElse(0);
     }
     return sum;
   }
 
+  /** One more with a member: any that is no larger and ends no later says nothing any more. */
+  private static void enter(Map<Integer, ArrayDeque<Lease>> book, int member, Lease lease) {
+    ArrayDeque<Lease> leases = book.computeIfAbsent(member, k -> new ArrayDeque<>());
+    leases.removeIf(l -> l.perSecond() <= lease.perSecond() && l.until() - lease.until() <= 0);
+    leases.addLast(lease);
+  }
+
+  private static double largest(Map<Integer, ArrayDeque<Lease>> book, int member) {
+    ArrayDeque<Lease> leases = book.get(member);
+    return leases == null || leases.isEmpty() ? 0 : leases.peekFirst().perSecond();
+  }
+
   /** When something runs out, at the earliest. */
   long nextEnd(long now) {
     long next = now - keptBackUntil < 0 ? keptBackUntil : Long.MAX_VALUE;
-    for (Lease l : borrowed.values()) {
-      next = Math.min(next, l.until());
-    }
-    for (ArrayDeque<Lease> leases : lent.values()) {
-      for (Lease l : leases) {
-        next = Math.min(next, l.until());
+    for (Map<Integer, ArrayDeque<Lease>> book : List.of(borrowed, lent)) {
+      for (ArrayDeque<Lease> leases : book.values()) {
+        for (Lease l : leases) {
+          next = Math.min(next, l.until());
+        }
       }
     }
     return next;
@@ -122,21 +132,21 @@
   /** Lends as much of what is asked as this member can spare; 0 for nothing. */
   double lend(int borrower, double perSecond, long now) {
     double out = lentOut(now);
-    ArrayDeque<Lease> to = lent.computeIfAbsent(borrower, k -> new ArrayDeque<>());
-    double before = to.stream().mapToDouble(Lease::perSecond).max().orElse(0);
+    ArrayDeque<Lease> to = lent.get(borrower);
     // What the borrower has already does not count twice, so that it can renew all of it.
-    double spare = Math.min(settings.lendablePart() * share, share - wanted(now)) - (out - before);
-    double part = now - keptBackUntil < 0 || to.size() >= MOST_LEASES ? 0 : Math.min(perSecond, spare);
+    double spare = Math.min(settings.lendablePart() * share, share - wanted(now)) - (out - largest(lent, borrower));
+    boolean full = to != null && to.size() >= MOST_LEASES && to.peekLast().perSecond() > Math.min(perSecond, spare);
+    double part = now - keptBackUntil < 0 || full ? 0 : Math.min(perSecond, spare);
     if (part <= 0) {
       return 0;
     }
-    to.add(new Lease(part, now + settings.heldNanos()));
+    enter(lent, borrower, new Lease(part, now + settings.heldNanos()));
     return part;
   }
 
   /** Takes a part over that was asked for at {@code askedAt}. */
   void borrow(int lender, double perSecond, long askedAt) {
-    borrowed.put(lender, new Lease(perSecond, askedAt + settings.leaseNanos()));
+    enter(borrowed, lender, new Lease(perSecond, askedAt + settings.leaseNanos()));
   }
 
   /** The borrower uses nothing of it any more. */
@@ -146,18 +156,19 @@
 
   /** Gives up what one member lends; from now on it is not used here. */
   double giveUp(int lender) {
-    Lease l = borrowed.remove(lender);
-    return l == null ? 0 : l.perSecond();
+    double part = from(lender);
+    borrowed.remove(lender);
+    return part;
   }
 
   double from(int lender) {
-    Lease l = borrowed.get(lender);
-    return l == null ? 0 : l.perSecond();
+    return largest(borrowed, lender);
   }
 
-  /** What comes from one member, and is past the middle of its time. */
+  /** What comes from one member, and is past the middle of its time: of the one that ends last. */
   double due(int lender, long now) {
-    Lease l = borrowed.get(lender);
+    ArrayDeque<Lease> leases = borrowed.get(lender);
+    Lease l = leases == null ? null : leases.peekLast();
     return l != null && l.until() - now <= settings.leaseNanos() / 2 ? l.perSecond() : 0;
   }
 
@@ -165,8 +176,4 @@
   int[] lenders() {
     return borrowed.keySet().stream().mapToInt(i -> i).sorted().toArray();
   }
-
-  boolean borrowsFrom(int member) {
-    return borrowed.containsKey(member);
-  }
 }
--- a/src/main/java/pumicekeel/sim/QuotaSim.java
+++ b/src/main/java/pumicekeel/sim/QuotaSim.java
@@ -28,6 +28,12 @@
   /** Sums of doubles. */
   private static final double GRAIN = 1 + 1e-9;
 
+  /** What a run has: faults and demand that jumps, demand that jumps, or demand that rises in small steps at one member. */
+  public enum Course { FAULTS, CALM, RISING }
+
+  /** By so much of the quota the one member's demand rises in each step, at the most. */
+  private static final double RISE = 0.02;
+
   /**
    * A run's figures; {@code fault} is null where all held. Shares are of what the quotas and the demand of members that run would
    * have let through.
@@ -75,17 +81,24 @@
     demand = new double[size][names.size()];
   }
 
-  /** Plays the seed; without faults, only demand moves. */
-  public Report run(boolean faults) {
+  /** Plays the seed. */
+  public Report run(Course course) {
+    boolean faults = course == Course.FAULTS;
     for (int i = 0; i < size; i++) {
       start(i);
     }
-    shiftDemand();
-    long shiftAt = 10 * SECOND;
+    int one = random.nextInt(size);
+    if (course != Course.RISING) {
+      shiftDemand();
+    }
+    long shiftAt = course == Course.RISING ? 0 : 10 * SECOND;
     long faultAt = SECOND;
     while (now < END && fault == null) {
       now += STEP;
-      if (now >= shiftAt) {
+      if (now >= shiftAt && course == Course.RISING) {
+        riseAt(one);
+        shiftAt = now + 250 * MS;
+      } else if (now >= shiftAt) {
         shiftDemand();
         shiftAt = now + 5 * SECOND + random.nextLong(10 * SECOND);
       }
@@ -192,6 +205,14 @@
     }
   }
 
+  /** A little more at one member, up to the whole quota; the others stay idle. */
+  private void riseAt(int one) {
+    for (int t = 0; t < names.size(); t++) {
+      double quota = QUOTAS.get(names.get(t));
+      demand[one][t] = Math.min(quota, demand[one][t] + RISE * quota * random.nextDouble());
+    }
+  }
+
   private void disturb() {
     int one = random.nextInt(size);
     switch (random.nextInt(10)) {
--- a/src/test/java/pumicekeel/quota/QuotaExchangeTest.java
+++ b/src/test/java/pumicekeel/quota/QuotaExchangeTest.java
@@ -137,6 +137,38 @@
     assertEquals(100, rate(idle), GRAIN);
   }
 
+  @Test
+  void memberThatHasALittleGetsMoreOfTheSameLender() {
+    for (int i = 0; i < 100; i++) {
+      now += 50 * MS;
+      busy.asked("t", 4 + 0.1 * i, now);
+      for (Out o : busy.tick(now, both)) {
+        idle.receive(0, o.bytes(), now).forEach(answer -> busy.receive(1, answer.bytes(), now));
+        assertTrue(rate(busy) + rate(idle) <= 200 + GRAIN);
+      }
+    }
+    assertEquals(190, rate(busy), GRAIN, "all that may be lent");
+  }
+
+  @Test
+  void smallerRenewalLeavesTheLargerLoanUntilItsEnd() {
+    busy.receive(1, lent(ask()), now);
+    double before = rate(busy);
+    // The lender is asked itself now: it lends less from the next time on.
+    byte[] less = null;
+    for (int i = 0; i < 40 && less == null; i++) {
+      now += 50 * MS;
+      idle.asked("t", 4.5, now);
+      busy.asked("t", 7.5, now);
+      List<Out> out = busy.tick(now, both);
+      less = out.isEmpty() || now < 6 * SECOND ? null : lent(out.get(0).bytes());
+    }
+    assertNotNull(less);
+    busy.receive(1, less, now);
+    assertEquals(before, rate(busy), GRAIN, "it was lent for three seconds");
+    assertTrue(rate(busy) + rate(idle) <= 200 + GRAIN);
+  }
+
   @Test
   void membersWithAnotherFigureDoNotLend() {
     byte[] ask = ask();
