--- a/src/main/java/pumicekeel/lab/fleet/Deployment.java
+++ b/src/main/java/pumicekeel/lab/fleet/Deployment.java
@@ -27,6 +27,9 @@
   private static final int MOST_OPEN = 20_000;
   private static final long FIRST_ID = 100;
 
+  /** How far a rough weight lies from the size that it stands for (an assumption). */
+  private static final double WEIGHT_SIGMA = 0.15;
+
   private final WorldSpec spec;
   private final Agenda agenda;
   private final Chance chance;
@@ -56,7 +59,8 @@
     int cores = large ? 3 : 2;
     double speed = large ? chance.between(0.85, 1.1) : chance.between(0.51, 0.69);
     return new ServerSpec(cores, speed, cores * 12, cores * 20, 0.005, 0.32, 8_500 * MS, chance.below(1_500) + 1_200,
-        (long) (MS * chance.between(0.89, 3.4)), (long) (SECOND * chance.between(19, 39)), 0.75, 400);
+        (long) (MS * chance.between(0.89, 3.4)), (long) (SECOND * chance.between(19, 39)), 0.75, 400,
+        spec.weighed() ? cores * speed * chance.lognormal(WEIGHT_SIGMA) : 1);
   }
 
   /** What one balancer is told. */
@@ -65,8 +69,8 @@
         Traffic.SHARES[i], Traffic.SHARES[i] * 1.5 * capacity / RequestKind.meanWork(RequestKind.BRIEF))).toList();
     return new Settings(me, spec.balancers(), zone, RequestKind.BRIEF.stream().map(RequestKind::type).toList(), tenants,
         new Limits(true, false, false, true, true, 2 * SECOND, 6, MOST_OPEN, 1, 250 * MS, 15 * SECOND),
-        new Contract(8 * MS, 0, 2 * SECOND, 0.32, 8_500 * MS, 3, 3 * SECOND), new Prices(0, 0.02, 0.03), false, WeightKind.NONE, 0.2,
-        true, MS);
+        new Contract(8 * MS, 0, 2 * SECOND, 0.32, 8_500 * MS, 3, 3 * SECOND), new Prices(0, 0.02, 0.03), false,
+        spec.weighed() ? WeightKind.ROUGH : WeightKind.NONE, 0.2, true, MS);
   }
 
   /** Work that the upstreams which start with the world can do in a second. */
--- a/src/main/java/pumicekeel/lab/world/ServerSpec.java
+++ b/src/main/java/pumicekeel/lab/world/ServerSpec.java
@@ -14,9 +14,11 @@
  * @param handshakeNanos what a new one costs, in work
  * @param keyMemoryNanos how long it remembers a key; {@code keySaving} of the work is saved then
  * @param keys that it remembers, the oldest forgotten first
+ * @param weight its size as lists tell it, where they do
  */
 public record ServerSpec(int cores, double speed, int slots, int queue, double thrash, double coldFrom, long warmNanos,
-    int connections, long handshakeNanos, long keyMemoryNanos, double keySaving, int keys) {
+    int connections, long handshakeNanos, long keyMemoryNanos, double keySaving, int keys,
+    double weight) {
 
   /** Work a second when warm, in nanoseconds of the yardstick. */
   public double capacity() {
@@ -25,6 +27,6 @@
 
   /** A plain queue of so many cores without anything else, as textbooks have it. */
   public static ServerSpec plain(int cores, int slots) {
-    return new ServerSpec(cores, 1, slots, Integer.MAX_VALUE, 0, 1, 0, Integer.MAX_VALUE, 0, 0, 0, 0);
+    return new ServerSpec(cores, 1, slots, Integer.MAX_VALUE, 0, 1, 0, Integer.MAX_VALUE, 0, 0, 0, 0, 1);
   }
 }
--- a/src/main/java/pumicekeel/lab/world/WorldSpec.java
+++ b/src/main/java/pumicekeel/lab/world/WorldSpec.java
@@ -13,10 +13,11 @@
  * @param frontNanos how long the front layer goes on sending to a dead balancer
  * @param retryPart clients that ask once more after a failure or a refusal
  * @param followPart those among them that wait as long as they were told
+ * @param weighed whether lists tell each upstream's size, roughly
  */
 public record WorldSpec(String name, int balancers, int servers, double seconds, double load, double keysPerServer, double keySkew,
     int zones, long zoneNanos, int cellSize, long listNanos, long frontNanos, double retryPart, double followPart,
-    List<Trouble> troubles) {
+    boolean weighed, List<Trouble> troubles) {
 
   public static final int MOST_BALANCERS = 1_000;
   public static final int MOST_SERVERS = 20_000;
@@ -41,32 +42,32 @@
 
   public WorldSpec withSize(int newBalancers, int newServers) {
     return new WorldSpec(name, newBalancers, newServers, seconds, load, keysPerServer, keySkew, Math.min(zones, newServers), zoneNanos,
-        cellSize, listNanos, frontNanos, retryPart, followPart, troubles);
+        cellSize, listNanos, frontNanos, retryPart, followPart, weighed, troubles);
   }
 
   public WorldSpec withSeconds(double next) {
     return new WorldSpec(name, balancers, servers, next, load, keysPerServer, keySkew, zones, zoneNanos, cellSize, listNanos, frontNanos,
-        retryPart, followPart, troubles);
+        retryPart, followPart, weighed, troubles);
   }
 
   public WorldSpec withTroubles(List<Trouble> next) {
     return new WorldSpec(name, balancers, servers, seconds, load, keysPerServer, keySkew, zones, zoneNanos, cellSize, listNanos,
-        frontNanos, retryPart, followPart, next);
+        frontNanos, retryPart, followPart, weighed, next);
   }
 
   /** One figure changed, by the name that an experiment sweeps; an IllegalArgumentException names what is expected. */
   public WorldSpec with(String key, double value) {
     return switch (key) {
       case "load" -> new WorldSpec(name, balancers, servers, seconds, value, keysPerServer, keySkew, zones, zoneNanos, cellSize,
-          listNanos, frontNanos, retryPart, followPart, troubles);
+          listNanos, frontNanos, retryPart, followPart, weighed, troubles);
       case "keys-per-server" -> new WorldSpec(name, balancers, servers, seconds, load, value, keySkew, zones, zoneNanos, cellSize,
-          listNanos, frontNanos, retryPart, followPart, troubles);
+          listNanos, frontNanos, retryPart, followPart, weighed, troubles);
       case "list-late-s" -> new WorldSpec(name, balancers, servers, seconds, load, keysPerServer, keySkew, zones, zoneNanos, cellSize,
-          (long) (value * 1e9), frontNanos, retryPart, followPart, troubles);
+          (long) (value * 1e9), frontNanos, retryPart, followPart, weighed, troubles);
       case "retry-part" -> new WorldSpec(name, balancers, servers, seconds, load, keysPerServer, keySkew, zones, zoneNanos, cellSize,
-          listNanos, frontNanos, value, followPart, troubles);
+          listNanos, frontNanos, value, followPart, weighed, troubles);
       case "follow-part" -> new WorldSpec(name, balancers, servers, seconds, load, keysPerServer, keySkew, zones, zoneNanos, cellSize,
-          listNanos, frontNanos, retryPart, value, troubles);
+          listNanos, frontNanos, retryPart, value, weighed, troubles);
       default -> throw new IllegalArgumentException(key + ": expected one of " + SWEPT);
     };
   }
--- a/src/test/java/pumicekeel/lab/world/ServerModelTest.java
+++ b/src/test/java/pumicekeel/lab/world/ServerModelTest.java
@@ -92,7 +92,7 @@
   @Test
   void queueThatIsFullTurnsAwayUnseenAndACrashResetsWhatItHolds() {
     List<Status> statuses = new ArrayList<>();
-    Server s = server(new ServerSpec(1, 1, 1, 1, 0, 1, 0, 10, 0, 0, 0, 0));
+    Server s = server(new ServerSpec(1, 1, 1, 1, 0, 1, 0, 10, 0, 0, 0, 0, 1));
     for (int i = 0; i < 3; i++) {
       s.submit(new Server.Job(null, null, Effect.SAFE, 0, SECOND, 0, sender(statuses)), chance);
     }
@@ -120,7 +120,7 @@
   @Test
   void coldOneWorksAtItsPartAndRememberedKeysSaveTheirs() {
     List<Status> statuses = new ArrayList<>();
-    Server cold = new Server(1, "z", 0, new ServerSpec(1, 1, 9, 9, 0, 0.25, (long) (1_000 * SECOND), 9, 0, (long) (60 * SECOND), 0.75, 9),
+    Server cold = new Server(1, "z", 0, new ServerSpec(1, 1, 9, 9, 0, 0.25, (long) (1_000 * SECOND), 9, 0, (long) (60 * SECOND), 0.75, 9, 1),
         new Server.Cell(), agenda, 0);
     cold.submit(new Server.Job("k", null, Effect.SAFE, 0, SECOND, 0, sender(statuses)), chance);
     agenda.run((long) (3.9 * SECOND), () -> false);
