What a request waited for a loop that was behind is spent of its time

A request that is read after the loop stood still counted its whole X-Time-Left-Ms from that moment (ClientHandler.inTime took only the line at the limit into account), so its final answer came later than its client's time by the whole lag; beyond half a second that is a lost request.

Change: LoopLag tells how far the loop is behind, above 50 ms, and ClientHandler takes that off. JSON-RPC clients state no time.

Test: LateLoopTest stops the loop for 3 s and reads what is left in the upstream's own log; without the guard it fails.

--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -322,9 +322,10 @@
     }
   }
 
-  /** A request with what is left of its time, of which its client may have spent some in line. */
+  /** A request with what is left of its time, of which its client may have spent some in line or while the loop was behind. */
   private ClientRequest inTime(ClientRequest request) {
-    return times.neverAnswered() && waited > 0 ? request.withLeft(request.leftNanos() - waited) : request;
+    long spent = Math.max(times.neverAnswered() ? waited : 0, side.behindNanos());
+    return spent > 0 ? request.withLeft(request.leftNanos() - spent) : request;
   }
 
   /** Whether a path is the balancer's own. */
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -18,6 +18,7 @@
 import pumicekeel.core.Door;
 import pumicekeel.front.Front;
 import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.LoopLag;
 import pumicekeel.runtime.Reactor;
 
 /** The listening side: client connections, readiness, and the end of both at a planned stop. */
@@ -61,13 +62,15 @@
   private boolean draining;
   private boolean closing;
   private final String warmUpPath;
+  private final LoopLag lag;
   /** Since when connections may have stood in the kernel's line, at the limit; 0 where none has. */
   private long lineSince;
   private long acceptsSince;
 
   /** The listener of this name, with at most so many connections; {@code warmUpPath} is answered with 200. */
-  public ClientSide(Reactor on, String name, Door door, int most, String warmUpPath) {
+  public ClientSide(Reactor on, LoopLag lag, String name, Door door, int most, String warmUpPath) {
     this.on = on;
+    this.lag = lag;
     loop = on.loop();
     this.name = name;
     this.door = door;
@@ -218,6 +221,11 @@
     listener.config().setAutoRead(false);
   }
 
+  /** How long what is read now may have waited for the loop, at most. */
+  long behindNanos() {
+    return lag.behindNanos();
+  }
+
   /** How long one that is accepted now may have stood in line unseen, at most; its client's time ran meanwhile. */
   private long waitedInLine() {
     long now = clock().now();
--- a/src/main/java/pumicekeel/node/Listeners.java
+++ b/src/main/java/pumicekeel/node/Listeners.java
@@ -15,6 +15,7 @@
 import pumicekeel.front.jsonrpc.RequestIds;
 import pumicekeel.front.jsonrpc.RpcSide;
 import pumicekeel.runtime.Log;
+import pumicekeel.runtime.LoopLag;
 import pumicekeel.runtime.Reactor;
 
 /** The listening sides of a node: the platform's, which stays, and those that generations bring and take away. */
@@ -28,6 +29,7 @@
   private record Side(Operator.Listener spec, Front side) {}
 
   private final Reactor on;
+  private final LoopLag lag;
   private final EventLoop loop;
   private final Door door;
   private final ClientSide platform;
@@ -36,13 +38,14 @@
   private final Map<String, Side> sides = new LinkedHashMap<>();
   private final List<Front> leaving = new ArrayList<>();
 
-  Listeners(Reactor on, Door door, int total, String warmUpPath, RequestIds ids) {
+  Listeners(Reactor on, LoopLag lag, Door door, int total, String warmUpPath, RequestIds ids) {
     this.ids = ids;
     this.on = on;
+    this.lag = lag;
     loop = on.loop();
     this.door = door;
     this.total = total;
-    platform = new ClientSide(on, Operator.PLATFORM, door, total, warmUpPath);
+    platform = new ClientSide(on, lag, Operator.PLATFORM, door, total, warmUpPath);
   }
 
   ClientSide platform() {
@@ -80,7 +83,7 @@
       if (now != null && now.spec().address().equals(l.address()) && (now.spec().rpc() == null) == (l.rpc() == null)) {
         continue;
       }
-      Front side = l.rpc() == null ? new ClientSide(on, l.name(), door, most, null)
+      Front side = l.rpc() == null ? new ClientSide(on, lag, l.name(), door, most, null)
           : new RpcSide(on, l.name(), door, most, l.rpc(), ids);
       try {
         side.listen(l.address(), false);
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -94,7 +94,7 @@
     firstGeneration = operator;
     OperatorCalls calls = new OperatorCalls(rotation, this::rotate, () -> peers == null ? null : peers.view());
     admin = new AdminSide(loop, line -> calls.answer(line, on.clock().now()));
-    listeners = new Listeners(on, serving.door(), services == null ? Rooms.clientSockets(configuration)
+    listeners = new Listeners(on, lag, serving.door(), services == null ? Rooms.clientSockets(configuration)
         : services.rooms().clientSockets(), warmUpPath, new RequestIds(configuration.name(), on.clock().millis()));
   }
 
@@ -146,7 +146,7 @@
     openJournal();
     openPeers();
     Map<String, Front> bound = firstGeneration == null ? Map.of() : listeners.bind(firstGeneration);
-    ClientSide own = configuration.inherited() ? new ClientSide(on, "warm-up", serving.door(), WARM_UP_SOCKETS, warmUpPath)
+    ClientSide own = configuration.inherited() ? new ClientSide(on, lag, "warm-up", serving.door(), WARM_UP_SOCKETS, warmUpPath)
         : null;
     InetSocketAddress address = own == null ? listeners.platform().listen(configuration.listen())
         : listeners.platform().adopt(inheritedSocket());
--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -81,7 +81,7 @@
     pool = new ConnectionPool(on, SECOND, SECOND, AT_ONCE);
     core = new BalancerCore(settings, new AdaptiveBalancer(settings, 0), clock, loop, lag, pool,
         e -> Log.line("defect of the module while warming up: " + e));
-    side = new ClientSide(on, "warm-up", new OneDoor(core), AT_ONCE, null);
+    side = new ClientSide(on, lag, "warm-up", new OneDoor(core), AT_ONCE, null);
     tenants = real.tenants();
   }
 
--- a/src/main/java/pumicekeel/runtime/LoopLag.java
+++ b/src/main/java/pumicekeel/runtime/LoopLag.java
@@ -13,6 +13,8 @@
 
   /** Short against any aim, and a hundred timers a second cost next to nothing. */
   private static final long PERIOD_NANOS = 10_000_000L;
+  /** Under this a loop is not behind: a piece of work, a collection. */
+  private static final long BEHIND_NANOS = 50_000_000L;
   /** What waited came at any time since the loop last looked: half of that on average. */
   private static final int WAIT_PART = 2;
 
@@ -37,6 +39,15 @@
     next();
   }
 
+  /**
+   * How long what is read now may have waited in its socket, at the most; 0 while the loop is hardly behind. Its sender's time
+   * ran meanwhile: whoever takes that for new promises an answer that comes too late. Only for the loop's own thread.
+   */
+  public long behindNanos() {
+    long behind = Math.max(late, clock.now() - due);
+    return behind > BEHIND_NANOS ? behind : 0;
+  }
+
   /** How long what is read now has waited in its socket, on average; only for the loop's own thread. */
   public long waitNanos() {
     return Math.max(late, clock.now() - due) / WAIT_PART;
--- /dev/null
+++ b/src/test/java/pumicekeel/node/LateLoopTest.java
@@ -0,0 +1,61 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/** The loop stands still while a request waits in its socket; the upstream's log tells what was left of its time. */
+class LateLoopTest {
+
+  private static final int LEFT_MILLIS = 15_000;
+  private static final long STALL_MILLIS = 3_000;
+
+  @Test
+  void whatARequestWaitedForTheLoopIsSpentOfItsTime() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestNode t = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (Socket client = new Socket(t.address.getAddress(), t.address.getPort())) {
+        ask(client, "a");
+        TestNode.until(() -> upstream.requests.size() == 1);
+        assertTrue(left(upstream, 0) > LEFT_MILLIS - 2_000, "left without a stall: " + left(upstream, 0));
+        client.getInputStream().read();
+        CountDownLatch stands = new CountDownLatch(1);
+        t.node.loop().execute(() -> {
+          stands.countDown();
+          sleep();
+        });
+        stands.await();
+        ask(client, "b");
+        TestNode.until(() -> upstream.requests.size() == 2);
+        assertTrue(left(upstream, 1) < LEFT_MILLIS - 2_500, "left after it waited for 3 s: " + left(upstream, 1));
+      } finally {
+        t.node.close();
+      }
+    }
+  }
+
+  private static void sleep() {
+    try {
+      Thread.sleep(STALL_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void ask(Socket client, String id) throws Exception {
+    client.getOutputStream().write(("GET /look HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: look\r\n"
+        + "X-Account: acme\r\nX-Time-Left-Ms: " + LEFT_MILLIS + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static int left(FakeServer upstream, int request) {
+    Matcher m = Pattern.compile("(?i)x-time-left-ms: (\\d+)").matcher(upstream.requests.get(request));
+    assertEquals(true, m.find(), upstream.requests.get(request));
+    return Integer.parseInt(m.group(1));
+  }
+}
