Nothing is sent to an upstream from the moment that it is known to leave

UpstreamTable.leave counted the drain's grace from the list's arrival here, and BalancerCore.maySend let sends pass for the grace less 0.2 s. The rule counts from when the leaving was told: 6 s after a watch fell silent, 4 s after SIGHUP, at an agent at once. So news after a gap could be late by the whole grace, and an attempt whose connect came up 0.4 to 1 s later still went out. The module places on ready upstreams only, so the grace served nothing but attempts that were decided before the news: those end as not sent and are placed anew. leavingSince, leftSince and the margin go.

BalancerCoreTest.upstreamKnownToLeaveGetsNothingMore: the first send after the news, without waiting for the grace; SERVED before, now NOT_SENT.

--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -60,8 +60,6 @@
   private static final long GUARD_NANOS = 20_000_000L;
   /** The largest body at half the rate that clients have at least; what is slower is ended by its front. */
   private static final long LONGEST_UPLOAD_NANOS = TimeUnit.MINUTES.toNanos(20);
-  /** Stay clear of the grace's end: a send counts at its first byte. */
-  private static final long DRAIN_MARGIN_NANOS = 200_000_000L;
 
   private final Tuning tuning;
   private final Balancer module;
@@ -249,15 +247,10 @@
   }
 
   private void news(ListKind kind, HostList list) {
-    upstreams.news(kind != ListKind.DELTA, list.hosts(), clock.now());
+    upstreams.news(kind != ListKind.DELTA, list.hosts());
     tell(new ListNews(kind, list.hosts().stream().map(HostList.Host::listed).toList()));
   }
 
-  /** An upstream that leaves was told to leave at this time already; before the core itself heard of it. */
-  public void leftSince(long upstream, long since) {
-    upstreams.leftSince(upstream, since);
-  }
-
   /** How many upstreams are ready, as the list tells. */
   public int ready() {
     return upstreams.ready();
@@ -378,11 +371,8 @@
   }
 
   private boolean maySend(OpenRequest r, UpstreamTable.Entry upstream) {
-    long now = clock.now();
-    // Without the first a grace of less than the margin, or none, would hold every upstream for drained.
-    boolean drained = upstream.leaves()
-        && upstream.leavingFor(now) > Math.max(0, settings().contract().drainGraceNanos() - DRAIN_MARGIN_NANOS);
-    return !r.ended && !drained && r.repeatIsHarmless(now);
+    // None to one that is known to leave: its grace began when it was told, which may be long before the list came here.
+    return !r.ended && !upstream.leaves() && r.repeatIsHarmless(clock.now());
   }
 
   private void cancel(Cancel a) {
--- a/src/main/java/pumicekeel/discovery/UpstreamSource.java
+++ b/src/main/java/pumicekeel/discovery/UpstreamSource.java
@@ -1,14 +1,12 @@
 package pumicekeel.discovery;
 
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import pumicekeel.Balancer.State;
-import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Reactor;
 
 /**
@@ -26,21 +24,16 @@
 
   private final Set<Follower> followers = new LinkedHashSet<>();
   private final Map<Long, HostList.Host> hosts = new LinkedHashMap<>();
-  /** When the list first told that one leaves; a pool that comes later may not begin its grace anew. */
-  private final Map<Long, Long> leavingSince = new HashMap<>();
-  private final Clock clock;
   private Discovery discovery;
   private long index;
   /** Whether a discovery has told of the list since the start, or the list is fixed. */
   private boolean told;
 
-  private UpstreamSource(Clock clock) {
-    this.clock = clock;
-  }
+  private UpstreamSource() {}
 
   /** A list that is followed at an address, beginning with what was last known of it. */
   public static UpstreamSource watched(Reactor on, InetSocketAddress address, HostList known) {
-    UpstreamSource source = new UpstreamSource(on.clock());
+    UpstreamSource source = new UpstreamSource();
     source.merge(known);
     source.discovery = new Discovery(on, address, known.hosts().isEmpty() ? Discovery.NO_INDEX : known.index(),
         Discovery.SILENCE_MILLIS, source::news, source::failed);
@@ -48,8 +41,8 @@
   }
 
   /** A list that only a reload changes. */
-  public static UpstreamSource fixed(Reactor on, List<HostList.Host> hosts) {
-    UpstreamSource source = new UpstreamSource(on.clock());
+  public static UpstreamSource fixed(List<HostList.Host> hosts) {
+    UpstreamSource source = new UpstreamSource();
     source.told = true;
     source.merge(new HostList(0, true, hosts));
     return source;
@@ -65,11 +58,6 @@
     return whole();
   }
 
-  /** By the clock, when the list first told that this one leaves; 0 where it does not. */
-  public long leavingSince(long upstream) {
-    return leavingSince.getOrDefault(upstream, 0L);
-  }
-
   /** Follows no more; with the last follower the watch ends. */
   public void unfollow(Follower follower) {
     followers.remove(follower);
@@ -130,14 +118,6 @@
       } else {
         hosts.put(id, host);
       }
-      if (host.listed().state() == State.DRAINING) {
-        leavingSince.putIfAbsent(id, clock.now());
-      } else {
-        leavingSince.remove(id);
-      }
-    }
-    if (list.whole()) {
-      leavingSince.keySet().retainAll(hosts.keySet());
     }
   }
 }
--- a/src/main/java/pumicekeel/node/ServicePool.java
+++ b/src/main/java/pumicekeel/node/ServicePool.java
@@ -159,7 +159,6 @@
   void start() {
     HostList known = take(source.follow(this));
     core.start(known, on -> source.watch(this, on));
-    hosts.keySet().stream().filter(id -> source.leavingSince(id) != 0).forEach(id -> core.leftSince(id, source.leavingSince(id)));
   }
 
   @Override
--- a/src/main/java/pumicekeel/node/Services.java
+++ b/src/main/java/pumicekeel/node/Services.java
@@ -335,7 +335,7 @@
 
   private UpstreamSource source(Operator.Source spec) {
     if (spec instanceof Operator.Fixed fixed) {
-      return UpstreamSource.fixed(on, fixed.hosts());
+      return UpstreamSource.fixed(fixed.hosts());
     }
     return spec instanceof Operator.Watched watched
         ? UpstreamSource.watched(on, watched.address(), new HostList(0, true, List.of()))
--- a/src/main/java/pumicekeel/upstream/UpstreamTable.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamTable.java
@@ -16,8 +16,7 @@
   public static final class Entry {
     private final long id;
     private UpstreamLink link;
-    /** When it began to leave, or 0 while it is ready. */
-    private long leavingSince;
+    private boolean leaves;
     private boolean gone;
     private int out;
     private HostList.Host host;
@@ -37,12 +36,7 @@
 
     /** Whether the list says that it drains or is gone. */
     public boolean leaves() {
-      return leavingSince != 0;
-    }
-
-    /** How long it has been leaving, or 0. */
-    public long leavingFor(long now) {
-      return leavingSince == 0 ? 0 : now - leavingSince;
+      return leaves;
     }
   }
 
@@ -69,19 +63,19 @@
   }
 
   /** Takes in changes, or the whole list: one that is absent from that is gone. */
-  public void news(boolean whole, List<HostList.Host> hosts, long now) {
+  public void news(boolean whole, List<HostList.Host> hosts) {
     Set<Long> named = new HashSet<>();
     for (HostList.Host host : hosts) {
       named.add(host.listed().upstream());
-      update(host, now);
+      update(host);
     }
     if (whole) {
-      List.copyOf(entries.values()).stream().filter(e -> !named.contains(e.id)).forEach(e -> leave(e, true, now));
+      List.copyOf(entries.values()).stream().filter(e -> !named.contains(e.id)).forEach(e -> leave(e, true));
     }
-    ready = (int) entries.values().stream().filter(e -> e.leavingSince == 0).count();
+    ready = (int) entries.values().stream().filter(e -> !e.leaves).count();
   }
 
-  private void update(HostList.Host host, long now) {
+  private void update(HostList.Host host) {
     Listed listed = host.listed();
     Entry e = entries.computeIfAbsent(listed.upstream(), Entry::new);
     e.host = host;
@@ -92,15 +86,15 @@
       e.link = links.of(host.address());
     }
     if (listed.state() == State.READY) {
-      e.leavingSince = 0;
+      e.leaves = false;
       e.gone = false;
     } else {
-      leave(e, listed.state() == State.GONE, now);
+      leave(e, listed.state() == State.GONE);
     }
   }
 
-  private void leave(Entry e, boolean gone, long now) {
-    e.leavingSince = e.leavingSince == 0 ? now : e.leavingSince;
+  private void leave(Entry e, boolean gone) {
+    e.leaves = true;
     e.gone = gone;
     if (gone) {
       e.link.close();
@@ -108,14 +102,6 @@
     }
   }
 
-  /** One that leaves was told to leave as long ago as this already, by a list that others followed before. */
-  public void leftSince(long id, long since) {
-    Entry e = entries.get(id);
-    if (e != null && e.leavingSince != 0) {
-      e.leavingSince = Math.min(e.leavingSince, since);
-    }
-  }
-
   public void started(Entry e) {
     e.out++;
   }
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -262,7 +262,7 @@
   }
 
   @Test
-  void drainedUpstreamGetsNothingAfterTheGraceAndTheOutcomeIsNotNested() throws Exception {
+  void upstreamKnownToLeaveGetsNothingMoreAndTheOutcomeIsNotNested() throws Exception {
     try (FakeServer upstream = FakeServer.serving("fine")) {
       start(BalancerCoreTest::sendOnRequest, upstream);
       Balancer.Listed leaving = new Balancer.Listed(UPSTREAM, "a", 1, State.DRAINING, 0, 1);
@@ -270,7 +270,6 @@
       assertEquals(Status.SERVED, outcome().status(), "an idle connection makes the next send end at once");
       loop.submit(() -> core.news(new HostList(8, false,
           List.of(new HostList.Host(upstream.address(), leaving))))).get();
-      TimeUnit.NANOSECONDS.sleep(settings.contract().drainGraceNanos());
       take("2", "look", 15_000);
       assertEquals(Status.NOT_SENT, outcome().status());
       assertEquals(1, upstream.requests.size());
--- a/src/test/java/pumicekeel/node/UpstreamTableTest.java
+++ b/src/test/java/pumicekeel/node/UpstreamTableTest.java
@@ -40,10 +40,10 @@
 
   @Test
   void thousandReplacedUpstreamsLeaveNothingBehind() {
-    table.news(true, List.of(host(0, State.READY)), 1);
+    table.news(true, List.of(host(0, State.READY)));
     for (int id = 1; id <= 1_000; id++) {
-      table.news(false, List.of(host(id, State.READY), host(id - 1, State.DRAINING)), id);
-      table.news(false, List.of(host(id - 1, State.GONE)), id);
+      table.news(false, List.of(host(id, State.READY), host(id - 1, State.DRAINING)));
+      table.news(false, List.of(host(id - 1, State.GONE)));
     }
     assertEquals(1, table.size());
     assertNotNull(table.get(1_000));
@@ -51,36 +51,36 @@
 
   @Test
   void oneThatIsGoneIsRememberedWhileAnAttemptIsOut() {
-    table.news(true, List.of(host(1, State.READY), host(2, State.READY)), 1);
+    table.news(true, List.of(host(1, State.READY), host(2, State.READY)));
     UpstreamTable.Entry first = table.get(1);
     table.started(first);
-    table.news(true, List.of(host(2, State.READY)), 5);
+    table.news(true, List.of(host(2, State.READY)));
     assertSame(first, table.get(1));
-    assertEquals(4, first.leavingFor(9), "absent from a whole list");
+    assertTrue(first.leaves(), "absent from a whole list");
     table.ended(first);
     assertNull(table.get(1));
-    assertEquals(4, first.leavingFor(9), "a send that is still to come may ask");
+    assertTrue(first.leaves(), "a send that is still to come may ask");
   }
 
   @Test
   void successorAtTheSameAddressInheritsNothing() {
-    table.news(true, List.of(host(1, State.READY)), 1);
-    table.news(false, List.of(host(1, State.DRAINING)), 2);
+    table.news(true, List.of(host(1, State.READY)));
+    table.news(false, List.of(host(1, State.DRAINING)));
     UpstreamPool before = (UpstreamPool) table.get(1).link();
-    table.news(false, List.of(host(2, State.READY)), 3);
+    table.news(false, List.of(host(2, State.READY)));
     UpstreamPool after = (UpstreamPool) table.get(2).link();
     assertEquals(before.address(), after.address());
     assertFalse(before == after);
-    assertEquals(0, table.get(2).leavingFor(9));
-    assertTrue(table.get(1).leavingFor(9) > 0);
+    assertFalse(table.get(2).leaves());
+    assertTrue(table.get(1).leaves());
   }
 
   @Test
   void oneThatIsReadyAgainLeavesNoMore() {
-    table.news(true, List.of(host(1, State.READY)), 1);
-    table.news(false, List.of(host(1, State.DRAINING)), 2);
-    table.news(false, List.of(host(1, State.GONE)), 3);
-    table.news(false, List.of(host(1, State.READY)), 4);
-    assertEquals(0, table.get(1).leavingFor(9));
+    table.news(true, List.of(host(1, State.READY)));
+    table.news(false, List.of(host(1, State.DRAINING)));
+    table.news(false, List.of(host(1, State.GONE)));
+    table.news(false, List.of(host(1, State.READY)));
+    assertFalse(table.get(1).leaves());
   }
 }
