Lists are framed by their JSON structure, and half a list is no sign of life

Netty's JsonObjectDecoder frames now, bounded by 4 MiB, split at any byte. Blank lines inside a list belong to it, so bytes behind half a list no longer count as life.

--- a/src/main/java/pumicekeel/discovery/Discovery.java
+++ b/src/main/java/pumicekeel/discovery/Discovery.java
@@ -16,8 +16,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -33,19 +33,18 @@
  */
 public final class Discovery {
 
+  /** No version of the list is known, so all of it is asked for. */
+  public static final long NO_INDEX = -1;
   /**
    * A heartbeat comes every 2 s; two that stay out, and a second, mean a connection that nobody serves any more. What it
    * misses counts as told 6 s after it fell silent: a new watch may need a second try by then.
    */
   public static final long SILENCE_MILLIS = 5_000;
   private static final int CONNECT_MILLIS = 2_000;
-  /** Far above any list; a line without an end must not fill the memory. */
-  private static final int MAX_LINE = 4 << 20;
+  /** Far above any list; one without an end must not fill the memory. */
+  private static final int MAX_LIST = 4 << 20;
 
   private final Reactor on;
-  /** No version of the list is known, so all of it is asked for. */
-  public static final long NO_INDEX = -1;
-
   private final long silenceMillis;
   private final Consumer<HostList> news;
   private final Runnable failed;
@@ -106,7 +105,7 @@
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(new HttpClientCodec(), handler);
+            channel.pipeline().addLast(new HttpClientCodec(), handler, handler.frames, handler.new Lists());
           }
         }).connect(address).addListener(connected -> {
           if (!connected.isSuccess()) {
@@ -116,10 +115,22 @@
     handler.channel = current;
   }
 
-  /** Reads one watch: lines may be split anywhere over the chunks. */
+  /** Lists as they begin and end in the stream. */
+  private static final class ListFrames extends JsonObjectDecoder {
+    private ListFrames() {
+      super(MAX_LIST);
+    }
+
+    /** One has begun and has not come to its end. */
+    private boolean half() {
+      return actualReadableBytes() > 0;
+    }
+  }
+
+  /** One watch: its life and its silence. Lists may be split anywhere over the chunks, and over lines. */
   private final class WatchHandler extends SimpleChannelInboundHandler<HttpObject> {
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private Channel channel;
+    private final ListFrames frames = new ListFrames();
     private ScheduledFuture<?> silence;
 
     @Override
@@ -128,49 +139,48 @@
           "/discovery/hosts?watch=1" + (index == NO_INDEX ? "" : "&after=" + index));
       request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
       ctx.writeAndFlush(request);
-      heard();
+      expect(silenceMillis);
     }
 
     /** Guards against a discovery that vanished: its connection stays open and says nothing for ever. */
-    private void heard() {
+    private void expect(long withinMillis) {
       if (silence != null) {
         silence.cancel(false);
       }
-      silence = on.loop().schedule(() -> end("silent"), silenceMillis, TimeUnit.MILLISECONDS);
+      silence = on.loop().schedule(() -> end("silent"), withinMillis, TimeUnit.MILLISECONDS);
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-      heard();
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
       if (message.decoderResult().isFailure()) {
         end("malformed answer");
       } else if (message instanceof HttpResponse response && response.status().code() != 200) {
         end("answer " + response.status().code());
-      } else if (message instanceof HttpContent part) {
-        read(part.content());
+      } else if (message instanceof HttpContent part && current == channel) {
+        ctx.fireChannelRead(part.content().retain());
         if (message instanceof LastHttpContent) {
           end("ended");
+        } else if (current == channel && !frames.half()) {
+          expect(silenceMillis);
         }
       }
     }
 
-    private void read(ByteBuf part) throws IOException {
-      while (part.isReadable() && current == channel) {
-        int length = part.bytesBefore((byte) '\n');
-        part.readBytes(line, length < 0 ? part.readableBytes() : length);
-        if (line.size() > MAX_LINE) {
-          end("a line without an end");
-        } else if (length >= 0) {
-          part.skipBytes(1);
-          String text = line.toString(StandardCharsets.UTF_8);
-          line.reset();
-          if (!text.isBlank()) {
-            HostList list = HostList.of(Fields.parse("list", text));
-            index = list.index();
-            news.accept(list);
-          }
+    /** What the answer's body holds, a list at a time. */
+    private final class Lists extends SimpleChannelInboundHandler<ByteBuf> {
+      @Override
+      protected void channelRead0(ChannelHandlerContext ctx, ByteBuf whole) throws IOException {
+        if (current == channel) {
+          HostList list = HostList.of(Fields.parse("list", whole.toString(StandardCharsets.UTF_8)));
+          index = list.index();
+          news.accept(list);
         }
       }
+
+      @Override
+      public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        end(cause.toString());
+      }
     }
 
     @Override
