Pushed lists are followed by the network's own watch; a broken watch is back within 6 s

Where lists are pushed, Discovery opens the watch at the start and again 0.1 s after any failure; the module hears of news only. The times of a watch stand in WatchTerms, as one sum against what counts as told: silence 3 s (one heartbeat and a second; was 5), connect 1 s asked and 0.25 s at an agent (was 2), first answer 3 s and 0.5 s (was 5). Before, 5 + 0.5 + a connect that stalls for 2 + 1 s was past 6 s and a grace of one. A reload takes over how lists are told. Test red before: pushedListIsFollowedFromTheStartAndAfterEveryWayToBreak, against an agent that resets, refuses, says nothing, and stays mute after its head.

--- a/src/main/java/pumicekeel/discovery/Discovery.java
+++ b/src/main/java/pumicekeel/discovery/Discovery.java
@@ -28,24 +28,20 @@
 import pumicekeel.runtime.Reactor;
 
 /**
- * The watch on discovery. Each call of {@link #watch} ends in news or in one failure; asking again after a failure,
- * and how soon, is the module's decision.
+ * The watch on discovery. Where discovery is asked, each call of {@link #watch} ends in news or in one failure; asking again
+ * after a failure, and how soon, is the module's decision, since calls cost a service that all balancers share. Where lists
+ * are pushed, the watch is the network's own: it is opened anew by itself for as long as it is wanted.
  */
 public final class Discovery {
 
   /** No version of the list is known, so all of it is asked for. */
   public static final long NO_INDEX = -1;
-  /**
-   * A heartbeat comes every 2 s; two that stay out, and a second, mean a connection that nobody serves any more. What it
-   * misses counts as told 6 s after it fell silent: a new watch may need a second try by then.
-   */
-  public static final long SILENCE_MILLIS = 5_000;
-  private static final int CONNECT_MILLIS = 2_000;
   /** Far above any list; one without an end must not fill the memory. */
   private static final int MAX_LIST = 4 << 20;
 
   private final Reactor on;
-  private final long silenceMillis;
+  private WatchTerms terms;
+  private ScheduledFuture<?> reopening;
   private final Consumer<HostList> news;
   private final Runnable failed;
   private InetSocketAddress address;
@@ -53,16 +49,31 @@
   private boolean wanted;
   private Channel current;
 
-  public Discovery(Reactor on, InetSocketAddress address, long index, long silenceMillis, Consumer<HostList> news,
+  public Discovery(Reactor on, InetSocketAddress address, long index, WatchTerms terms, Consumer<HostList> news,
       Runnable failed) {
     this.on = on;
     this.address = address;
     this.index = index;
-    this.silenceMillis = silenceMillis;
+    this.terms = terms;
     this.news = news;
     this.failed = failed;
   }
 
+  /** Begins to follow the list where that is pushed; where it is asked, the module says when. */
+  public void start() {
+    if (terms.pushed()) {
+      watch(true);
+    }
+  }
+
+  /** Other settings: how a watch is kept from now on. */
+  public void retune(WatchTerms next, boolean followed) {
+    terms = next;
+    if (followed) {
+      start();
+    }
+  }
+
   /** Starts a watch, unless one is on already, or ends it. */
   public void watch(boolean on) {
     wanted = on;
@@ -91,6 +102,10 @@
 
   /** Ends the watch that may be on; it is nobody's failure. */
   private void stop() {
+    if (reopening != null) {
+      reopening.cancel(false);
+      reopening = null;
+    }
     Channel before = current;
     current = null;
     if (before != null) {
@@ -99,9 +114,13 @@
   }
 
   private void connect() {
+    if (reopening != null) {
+      reopening.cancel(false);
+      reopening = null;
+    }
     WatchHandler handler = new WatchHandler();
     current = new Bootstrap().group(on.loop()).channelFactory(on.sockets()::connecting)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, terms.connectMillis())
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
@@ -115,6 +134,16 @@
     handler.channel = current;
   }
 
+  /** A watch has failed. */
+  private void failed(String why) {
+    Log.caused("discovery: watch failed: " + why);
+    if (terms.pushed()) {
+      reopening = on.loop().schedule(this::connect, terms.reopenMillis(), TimeUnit.MILLISECONDS);
+    } else {
+      failed.run();
+    }
+  }
+
   /** Lists as they begin and end in the stream. */
   private static final class ListFrames extends JsonObjectDecoder {
     private ListFrames() {
@@ -139,7 +168,7 @@
           "/discovery/hosts?watch=1" + (index == NO_INDEX ? "" : "&after=" + index));
       request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
       ctx.writeAndFlush(request);
-      expect(silenceMillis);
+      expect(terms.answerMillis());
     }
 
     /** Guards against a discovery that vanished: its connection stays open and says nothing for ever. */
@@ -161,7 +190,7 @@
         if (message instanceof LastHttpContent) {
           end("ended");
         } else if (current == channel && !frames.half()) {
-          expect(silenceMillis);
+          expect(terms.silenceMillis());
         }
       }
     }
@@ -201,8 +230,7 @@
       channel.close();
       if (current == channel) {
         current = null;
-        Log.caused("discovery: watch failed: " + why);
-        failed.run();
+        failed(why);
       }
     }
   }
--- a/src/main/java/pumicekeel/discovery/UpstreamSource.java
+++ b/src/main/java/pumicekeel/discovery/UpstreamSource.java
@@ -32,11 +32,11 @@
   private UpstreamSource() {}
 
   /** A list that is followed at an address, beginning with what was last known of it. */
-  public static UpstreamSource watched(Reactor on, InetSocketAddress address, HostList known) {
+  public static UpstreamSource watched(Reactor on, InetSocketAddress address, HostList known, WatchTerms terms) {
     UpstreamSource source = new UpstreamSource();
     source.merge(known);
     source.discovery = new Discovery(on, address, known.hosts().isEmpty() ? Discovery.NO_INDEX : known.index(),
-        Discovery.SILENCE_MILLIS, source::news, source::failed);
+        terms, source::news, source::failed);
     return source;
   }
 
@@ -55,6 +55,9 @@
   /** Follows the list from now on; the list as it stands. */
   public HostList follow(Follower follower) {
     followers.add(follower);
+    if (discovery != null) {
+      discovery.start();
+    }
     return whole();
   }
 
@@ -86,6 +89,13 @@
     discovery.moveTo(address);
   }
 
+  /** Other settings; with nobody who follows it, the watch waits for one. */
+  public void retune(WatchTerms terms) {
+    if (discovery != null) {
+      discovery.retune(terms, !followers.isEmpty());
+    }
+  }
+
   /** Another fixed list. */
   public void replace(List<HostList.Host> next) {
     news(new HostList(index + 1, true, next));
--- a/src/main/java/pumicekeel/node/OnePool.java
+++ b/src/main/java/pumicekeel/node/OnePool.java
@@ -7,6 +7,7 @@
 import pumicekeel.core.Door;
 import pumicekeel.core.OneDoor;
 import pumicekeel.discovery.Discovery;
+import pumicekeel.discovery.WatchTerms;
 import pumicekeel.runtime.LoopLag;
 import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.http.ConnectionPool;
@@ -27,7 +28,7 @@
     core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), on.clock(), on.loop(), lag,
         connections, defect);
     discovery = new Discovery(on, configuration.discovery(), configuration.known().index(),
-        Discovery.SILENCE_MILLIS, core::news, core::watchFailed);
+        WatchTerms.of(settings), core::news, core::watchFailed);
     door = new OneDoor(core);
   }
 
@@ -39,6 +40,7 @@
   @Override
   public void start() {
     core.start(configuration.known(), discovery::watch);
+    discovery.start();
   }
 
   /** One pool takes whatever settings are good in themselves. */
@@ -50,6 +52,7 @@
   @Override
   public void reload(Configuration next) {
     discovery.moveTo(next.discovery());
+    discovery.retune(WatchTerms.of(next.settings()), true);
     core.retune(next.settings());
   }
 
--- a/src/main/java/pumicekeel/node/Services.java
+++ b/src/main/java/pumicekeel/node/Services.java
@@ -23,6 +23,7 @@
 import pumicekeel.core.Lane;
 import pumicekeel.discovery.HostList;
 import pumicekeel.discovery.UpstreamSource;
+import pumicekeel.discovery.WatchTerms;
 import pumicekeel.front.jsonrpc.MethodMapping;
 import pumicekeel.journal.KeyMemory;
 import pumicekeel.pool.FairTurns;
@@ -221,6 +222,7 @@
     pools.values().forEach(p -> p.retune(settingsOf(p.spec())));
     quotasChanged();
     platformDiscovery = next.discovery();
+    sources.values().forEach(s -> s.retune(WatchTerms.of(next.settings())));
     UpstreamSource source = sources.get(Operator.PLATFORM);
     if (source != null) {
       source.moveTo(platformDiscovery);
@@ -337,9 +339,10 @@
     if (spec instanceof Operator.Fixed fixed) {
       return UpstreamSource.fixed(fixed.hosts());
     }
+    WatchTerms terms = WatchTerms.of(configuration.settings());
     return spec instanceof Operator.Watched watched
-        ? UpstreamSource.watched(on, watched.address(), new HostList(0, true, List.of()))
-        : UpstreamSource.watched(on, platformDiscovery, configuration.known());
+        ? UpstreamSource.watched(on, watched.address(), new HostList(0, true, List.of()), terms)
+        : UpstreamSource.watched(on, platformDiscovery, configuration.known(), terms);
   }
 
   private void retire(ServicePool pool) {
--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -11,10 +11,15 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.adapter.Decoder;
+import pumicekeel.adapter.Fields;
 import pumicekeel.discovery.Discovery;
 import pumicekeel.discovery.HostList;
+import pumicekeel.discovery.WatchTerms;
 import pumicekeel.runtime.Reactor;
 
 /** The watch, against a discovery that splits, falls silent, fails and changes its mind. */
@@ -34,7 +39,7 @@
   }
 
   private Discovery discovery(InetSocketAddress address, long silenceMillis) {
-    Discovery discovery = new Discovery(Reactor.of(loop), address, 7, silenceMillis, heard::add,
+    Discovery discovery = new Discovery(Reactor.of(loop), address, 7, new WatchTerms(false, 2_000, (int) silenceMillis, (int) silenceMillis, 0), heard::add,
         () -> heard.add("failed"));
     loop.execute(() -> discovery.watch(true));
     return discovery;
@@ -218,6 +223,63 @@
     }
   }
 
+  @Test
+  void pushedListIsFollowedFromTheStartAndAfterEveryWayToBreak() throws Exception {
+    AtomicInteger watches = new AtomicInteger();
+    try (FakeServer kept = FakeServer.serving("kept"); FakeServer gone = FakeServer.serving("gone");
+        FakeServer agent = new FakeServer((request, connection, out) -> {
+          int watch = watches.incrementAndGet();
+          if (watch == 1) {
+            connection.close();
+          } else if (watch == 2) {
+            FakeServer.write(out, "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n");
+          } else if (watch == 4) {
+            FakeServer.write(out, HEAD);
+          } else if (watch > 4) {
+            FakeServer.write(out, HEAD);
+            chunk(out, list(8, true, TestNode.endpoint("s-0", kept.address(), "in_service")));
+          }
+        })) {
+      TestNode node = new TestNode(TestNode.pushed(agent.address(), 1, kept, gone));
+      TestNode.until(() -> agent.requests.size() == 5);
+      assertTrue(agent.requests.get(4).contains("after=7 "), agent.requests.get(4));
+      try (TestClient client = new TestClient(node.address)) {
+        int[] calls = {0};
+        TestNode.until(() -> allKept(client, calls));
+      }
+      TestNode.until(() -> agent.closedByPeer.get() == 4);
+      assertEquals(5, agent.requests.size(), "one that lives is enough");
+    }
+  }
+
+  /** What a silent watch misses counts as told 6 s after its last byte, and the grace ends a second after that. */
+  @Test
+  void listIsKnownInTimeThoughATryFails() {
+    long due = 7_000;
+    for (boolean asked : new boolean[] {true, false}) {
+      WatchTerms terms = WatchTerms.of(settings(asked));
+      assertTrue(terms.silenceMillis() > 2_500, "a heartbeat comes every 2 s");
+      long stalls = terms.connectMillis() + (asked ? 0 : terms.answerMillis());
+      long known = asked ? terms.silenceMillis() + BACK_OFF[0] + stalls + BACK_OFF[1]
+          : terms.silenceMillis() + 4 * (stalls + terms.reopenMillis());
+      assertTrue(known < due, "asked " + asked + ": " + known);
+    }
+    WatchTerms agent = WatchTerms.of(settings(false));
+    assertTrue(agent.connectMillis() + agent.answerMillis() + agent.reopenMillis() < 1_000,
+        "what an agent gets at its return counts at once");
+  }
+
+  private static final long[] BACK_OFF = {500, 1_000};
+
+  private static Settings settings(boolean asked) {
+    String json = asked ? TestNode.json(TestNode.nowhere(), 1) : TestNode.pushed(TestNode.nowhere(), 1);
+    try {
+      return Decoder.settings(Fields.parse("configuration", json).nested("settings"));
+    } catch (java.io.IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
   @Test
   void upstreamAbsentFromAWholeListGetsNothingMore() throws Exception {
     try (FakeServer kept = FakeServer.serving("kept"); FakeServer gone = FakeServer.serving("gone");
--- a/src/test/java/pumicekeel/node/TestNode.java
+++ b/src/test/java/pumicekeel/node/TestNode.java
@@ -63,6 +63,11 @@
         """.formatted(text(discovery), known, maxAttempts);
   }
 
+  /** The same where lists are pushed by an agent. */
+  static String pushed(InetSocketAddress discovery, int maxAttempts, FakeServer... upstreams) {
+    return json(discovery, maxAttempts, upstreams).replace("\"on_request\"", "\"pushed\"");
+  }
+
   static String endpoint(String name, InetSocketAddress address, String status) {
     return "{\"name\":\"" + name + "\",\"address\":\"" + text(address) + "\",\"zone\":\"a\",\"type\":\"t\",\"group\":1,"
         + "\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":0}";
