The end of a stop is counted from SIGTERM, and leaves 0.4 s for a busy process

Node.drain counted its times from when the loop came to it, and had all answered 0.5 s past the longest deadline; SIGKILL comes 0.7 s past it, counted from SIGTERM. What the loop is behind at SIGTERM, up to 0.2 s, was added to the end. Now the end is counted from the call of drain, so that is taken off; and it is 0.3 s past the longest deadline: what the signal needs to reach a thread is not to be seen from here.

--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -34,11 +34,12 @@
 public final class Node {
 
   /** After SIGTERM new clients still come for 0.4 s, and SIGKILL comes the longest deadline, 3 s at most, and 0.7 s
-   * later: all is answered by a little before that. Clients use the connections that they have as long as these stay
-   * open, and another balancer may be away: until a second before the end they are served as ever. */
+   * later: all is answered by 0.4 s before that, of which a busy process may need a part to hear of SIGTERM, and another to
+   * come to its last answers. Clients use the connections that they have as long as these stay open, and another balancer may
+   * be away: until a second before the end they are served as ever. */
   private static final long ACCEPT_MILLIS = 500;
   private static final long LONGEST_DEADLINE_MILLIS = 3_000;
-  private static final long END_MILLIS = 500;
+  private static final long END_MILLIS = 300;
   private static final long LAST_MILLIS = 1_000;
   private static final long POLL_MILLIS = 10;
   /** Connections of the warm-up to the balancer itself, where it can't use the clients' socket. */
@@ -366,6 +367,8 @@
 
   /** Begins a planned stop: answers what was taken, takes nothing new after a while. */
   public void drain() {
+    // Counted from now: a loop that is behind comes to it later, and SIGKILL does not wait for that.
+    long askedAt = on.clock().now();
     loop.execute(() -> {
       Log.line(configuration.name() + " drains");
       draining = true;
@@ -373,7 +376,8 @@
       listeners.drain();
       long end = END_MILLIS + Math.min(LONGEST_DEADLINE_MILLIS, configuration.settings().classes().stream()
           .mapToLong(c -> TimeUnit.NANOSECONDS.toMillis(c.deadlineNanos())).max().orElse(0));
-      serving.endBy(TimeUnit.MILLISECONDS.toNanos(end));
+      long late = on.clock().now() - askedAt;
+      serving.endBy(Math.max(0, TimeUnit.MILLISECONDS.toNanos(end) - late));
       // On a socket that others hold too, the next process accepts already, or the kernel keeps clients until it does.
       long accept = configuration.inherited() ? 0 : ACCEPT_MILLIS;
       loop.schedule(listeners::stopListening, accept, TimeUnit.MILLISECONDS);
@@ -381,7 +385,8 @@
         // Others are there for them, so clients are told while they still ask: a close may meet a request on its way.
         loop.schedule(listeners::lastAnswers, accept, TimeUnit.MILLISECONDS);
       }
-      loop.schedule(this::takeNoMore, Math.max(ACCEPT_MILLIS, end - LAST_MILLIS), TimeUnit.MILLISECONDS);
+      loop.schedule(this::takeNoMore, Math.max(TimeUnit.MILLISECONDS.toNanos(ACCEPT_MILLIS),
+          TimeUnit.MILLISECONDS.toNanos(end - LAST_MILLIS) - late), TimeUnit.NANOSECONDS);
     });
   }
 
--- a/src/test/java/pumicekeel/node/LeavingClientTest.java
+++ b/src/test/java/pumicekeel/node/LeavingClientTest.java
@@ -109,17 +109,7 @@
         leave.add(new TestClient(node.address).send(TestClient.look("leaves" + i, LEFT_MILLIS, "")));
       }
       node.pass();
-      CountDownLatch stands = new CountDownLatch(1);
-      CountDownLatch goesOn = new CountDownLatch(1);
-      node.node.loop().execute(() -> {
-        stands.countDown();
-        try {
-          goesOn.await();
-        } catch (InterruptedException e) {
-          Thread.currentThread().interrupt();
-        }
-      });
-      stands.await();
+      CountDownLatch goesOn = node.standStill();
       tell.countDown();
       for (TestClient client : leave) {
         client.close();
--- /dev/null
+++ b/src/test/java/pumicekeel/node/StopTest.java
@@ -0,0 +1,37 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/** What is owed at a stop, with a loop that is late at the worst moment. */
+class StopTest {
+
+  private static final Pattern LEFT = Pattern.compile("(?i)x-time-left-ms: (\\d+)");
+
+  /** SIGKILL does not wait for a loop that comes to SIGTERM late: its end is counted from SIGTERM on. */
+  @Test
+  void endIsCountedFromTheStopAndNotFromWhenTheLoopHearsOfIt() throws Exception {
+    long late = 1_000_000_000L;
+    long end = 3_300;
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestNode node = new TestNode(TestNode.nowhere(), 3, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        assertEquals(200, client.call(TestClient.look("before", 15_000, "")).status());
+        CountDownLatch goesOn = node.standStill();
+        node.node.drain();
+        long asked = System.nanoTime();
+        TestNode.until(() -> System.nanoTime() - asked > late);
+        goesOn.countDown();
+        assertEquals(200, client.call(TestClient.look("after", 15_000, "")).status());
+      }
+      Matcher left = LEFT.matcher(upstream.requests.get(1));
+      assertTrue(left.find());
+      assertTrue(Long.parseLong(left.group(1)) <= end - late / 1_000_000, left.group());
+    }
+  }
+}
--- a/src/test/java/pumicekeel/node/TestNode.java
+++ b/src/test/java/pumicekeel/node/TestNode.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import pumicekeel.adapter.Decoder;
 import pumicekeel.adapter.Fields;
@@ -40,6 +41,22 @@
     }
   }
 
+  /** Has the loop stand still until the latch that is returned opens; it does by the return. */
+  CountDownLatch standStill() throws InterruptedException {
+    CountDownLatch stands = new CountDownLatch(1);
+    CountDownLatch goesOn = new CountDownLatch(1);
+    node.loop().execute(() -> {
+      stands.countDown();
+      try {
+        goesOn.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    stands.await();
+    return goesOn;
+  }
+
   private int up() {
     try (TestClient client = new TestClient(address)) {
       return client.call("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status();
