At a stop those in the kernel's line are let in as the listener closes, at the limit or not

ClientSide.stopListening closed the listener at once where it was not at its limit; a loop that was late had not accepted what came meanwhile, and the kernel resets that, requests and all. Now the same step lets in the line, in the room there is, and closes.

--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -288,7 +288,7 @@
       // At the limit: those that stand in the kernel's line would be reset with it, and their machine has them for accepted.
       lastCall();
     } else {
-      listener.close();
+      on.sockets().closeBehindLine(listener, Math.max(0, most + most / SPARE_PART - connections.size()));
     }
   }
 
--- a/src/main/java/pumicekeel/lab/program/VirtualListener.java
+++ b/src/main/java/pumicekeel/lab/program/VirtualListener.java
@@ -38,6 +38,15 @@
     accept();
   }
 
+  void closeBehindLine(int most) {
+    while (waiting.size() > most) {
+      waiting.pollLast().abort();
+    }
+    reads = true;
+    accept();
+    close();
+  }
+
   private void accept() {
     boolean any = false;
     while (reads && open && !waiting.isEmpty()) {
--- a/src/main/java/pumicekeel/lab/program/VirtualNetwork.java
+++ b/src/main/java/pumicekeel/lab/program/VirtualNetwork.java
@@ -77,6 +77,11 @@
     return new VirtualSocket(this, null, null);
   }
 
+  @Override
+  public void closeBehindLine(Channel listener, int most) {
+    ((VirtualListener) listener).closeBehindLine(most);
+  }
+
   @Override
   public int drop(Channel channel, int most) {
     return channel instanceof VirtualSocket socket ? socket.drop(most) : 0;
--- a/src/main/java/pumicekeel/runtime/NioSockets.java
+++ b/src/main/java/pumicekeel/runtime/NioSockets.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 
 /** TCP sockets of the system. */
@@ -36,6 +37,11 @@
     return channel instanceof Accepted accepted ? accepted.drop(most) : 0;
   }
 
+  @Override
+  public void closeBehindLine(Channel listener, int most) {
+    ((Listening) listener).closeBehindLine(most);
+  }
+
   /** One that listens on a socket which others hold too. */
   public static ServerChannel adopted(ServerSocketChannel socket) {
     return new Listening(socket);
@@ -57,6 +63,20 @@
       into.add(new Accepted(this, accepted));
       return 1;
     }
+
+    private void closeBehindLine(int most) {
+      List<Object> line = new ArrayList<>();
+      try {
+        while (line.size() < most && doReadMessages(line) > 0) {
+          // The next one.
+        }
+      } catch (IOException e) {
+        Log.line("in line at the close: " + e);
+      }
+      line.forEach(pipeline()::fireChannelRead);
+      pipeline().fireChannelReadComplete();
+      close();
+    }
   }
 
   private static final class Accepted extends NioSocketChannel {
--- a/src/main/java/pumicekeel/runtime/Sockets.java
+++ b/src/main/java/pumicekeel/runtime/Sockets.java
@@ -12,6 +12,12 @@
   /** One that connects, not connected yet. */
   Channel connecting();
 
+  /**
+   * Lets in those that stand in line for one that {@link #listening} made, so many at most, and closes it: in one go, so that none
+   * comes between.
+   */
+  void closeBehindLine(Channel listener, int most);
+
   /**
    * Whether neither bytes nor an end wait unread on one that {@link #connecting} made. Guards a reuse against what the loop
    * has still to read: a second copy of the last answer would be taken for the answer to the next request. May take a
--- a/src/test/java/pumicekeel/node/StopTest.java
+++ b/src/test/java/pumicekeel/node/StopTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -13,6 +15,27 @@
 
   private static final Pattern LEFT = Pattern.compile("(?i)x-time-left-ms: (\\d+)");
 
+  /** A connection that the machine has accepted and the process has not would be reset with the listener. */
+  @Test
+  void thoseInLineAtTheCloseAreLetInAndServed() throws Exception {
+    int inLine = 40;
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestNode node = new TestNode(TestNode.nowhere(), 3, upstream);
+      CountDownLatch goesOn = node.standStill();
+      List<TestClient> clients = new ArrayList<>();
+      for (int i = 0; i < inLine; i++) {
+        clients.add(new TestClient(node.address).send(TestClient.look("line" + i, 15_000, "")));
+      }
+      node.node.loop().execute(() -> node.node.listeners().stopListening());
+      goesOn.countDown();
+      for (TestClient client : clients) {
+        // Refused or served, but answered.
+        assertTrue(List.of(200, 429).contains(client.read().status()));
+        client.close();
+      }
+    }
+  }
+
   /** SIGKILL does not wait for a loop that comes to SIGTERM late: its end is counted from SIGTERM on. */
   @Test
   void endIsCountedFromTheStopAndNotFromWhenTheLoopHearsOfIt() throws Exception {
