The last answer of a connection reaches a client that still sends

A close with bytes unread is a reset, which may cost a client the answer it has not read. ClientHandler.over closed as soon as the answer was written. Where anything came behind the request, or stands unread, the output is ended, what comes is dropped, and the close waits for the client's own, 0.3 s at most.

--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -40,6 +41,8 @@
    * of a megabyte is through within 0.2 s, and no client's takes more than a hundredth of the loop's time. */
   private static final int MOST_DROPPED = 64 << 10;
   private static final long DROPS_EVERY_MILLIS = 10;
+  /** One that has its last answer and still sends has so long to read it and go. */
+  private static final long PARTING_MILLIS = 300;
 
   private final ClientSide side;
   private final ClientTimes times;
@@ -71,6 +74,7 @@
   private boolean deaf;
   private long dropped;
   private ScheduledFuture<?> drops;
+  private ScheduledFuture<?> parting;
   /** What its client may have waited before it was accepted; counts for its first request. */
   private long waited;
 
@@ -470,7 +474,7 @@
   /** Reads where reading is of use: one place decides, or one reason to wait would be lifted by another's end. */
   private void read() {
     ctx.channel().config().setAutoRead(!deaf && !times.held() && (!resting || taken != null) && dropped <= MOST_DROPPED
-        && ctx.channel().isWritable());
+        && (parting != null || ctx.channel().isWritable()));
   }
 
   @Override
@@ -578,7 +582,7 @@
       ends = true;
       deaf = true;
       read();
-      written.addListener(ChannelFutureListener.CLOSE);
+      written.addListener(done -> part());
     } else if (phase != Phase.SKIPPING) {
       become(Phase.IDLE);
     }
@@ -586,6 +590,19 @@
     side.becameIdle(this);
   }
 
+  /** A close with anything unread would reset the connection, and its client might not see its answer: then that is dropped first. */
+  private void part() {
+    boolean quiet = dropped == 0 && side.drop(ctx.channel(), MOST_DROPPED) <= 0;
+    if (quiet || !(ctx.channel() instanceof DuplexChannel both)) {
+      ctx.close();
+      return;
+    }
+    both.shutdownOutput();
+    parting = ctx.executor().schedule(() -> ctx.close(), PARTING_MILLIS, TimeUnit.MILLISECONDS);
+    deaf = false;
+    read();
+  }
+
   private void leaveLane() {
     Lane left = lane;
     lane = null;
@@ -600,6 +617,9 @@
     if (drops != null) {
       drops.cancel(false);
     }
+    if (parting != null) {
+      parting.cancel(false);
+    }
     dropBody();
     if (taken != null) {
       String id = taken;
--- a/src/test/java/pumicekeel/node/StopTest.java
+++ b/src/test/java/pumicekeel/node/StopTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
@@ -57,4 +58,42 @@
       assertTrue(Long.parseLong(left.group(1)) <= end - late / 1_000_000, left.group());
     }
   }
+
+  /** A close with bytes unread resets: the last answer may be lost with it. */
+  @Test
+  void lastAnswerReachesAClientThatStillSends() throws Exception {
+    CountDownLatch asked = new CountDownLatch(1);
+    CountDownLatch answers = new CountDownLatch(1);
+    CountDownLatch answered = new CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      asked.countDown();
+      answers.await();
+      FakeServer.write(out, FakeServer.ok("fine"));
+      answered.countDown();
+    })) {
+      TestNode node = new TestNode(TestNode.nowhere(), 3, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        client.send(TestClient.look("1", 15_000, "Connection: close\r\n"));
+        asked.await();
+        CountDownLatch goesOn = node.standStill();
+        AtomicBoolean reset = new AtomicBoolean();
+        // More than is dropped at a time, and some of it before the answer.
+        client.send("x".repeat(10_000));
+        Thread sends = new Thread(() -> {
+          try {
+            client.send("x".repeat(250_000));
+          } catch (java.io.IOException e) {
+            reset.set(true);
+          }
+        });
+        sends.start();
+        answers.countDown();
+        answered.await();
+        goesOn.countDown();
+        assertEquals(200, client.read().status());
+        sends.join();
+        assertTrue(client.endedInOrder() && !reset.get(), "and not by a reset");
+      }
+    }
+  }
 }
--- a/src/test/java/pumicekeel/node/TestClient.java
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -54,6 +54,15 @@
     }
   }
 
+  /** Whether the node ends this connection in order: a reset might cost its client what it has not read. */
+  boolean endedInOrder() {
+    try {
+      return in.read() < 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
