A kept connection rests 10 ms before its next request: a second answer is nobody's

A second answer that comes some milliseconds behind the first was taken for the answer to the next request, where that was written to the same connection meanwhile, as under load it is: from within the first one's outcome. UpstreamPool.takeIdle asks only what waits unread at that moment. ConnectionPoolTest.secondCopySomeTimeBehindAnAnswer: 'mine' was served to the second request; now 'next', on a new connection. The upstream cannot be told apart by anything but time: nothing in an answer names its request. A request waits for the rest of a connection where no other has rested, rather than pay for a new one.

--- a/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
+++ b/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.function.BooleanSupplier;
 import pumicekeel.Balancer.Status;
 import pumicekeel.call.ClientRequest;
@@ -26,6 +27,9 @@
   private UpstreamConnection connection;
   private ChannelFuture connecting;
   private boolean stale;
+  /** The kept connection that is waited for, and the end of that. */
+  private UpstreamConnection resting;
+  private ScheduledFuture<?> rested;
 
   HttpAttempt(int number, long upstream, long decidedAt, UpstreamPool pool, Ending ending) {
     super(number, upstream, decidedAt, ending);
@@ -36,7 +40,7 @@
   protected void begin(ClientRequest request, BooleanSupplier maySend) {
     UpstreamConnection idle = pool.takeIdle();
     if (idle != null) {
-      write(idle, request, maySend);
+      onceRested(idle, request, maySend);
       return;
     }
     connecting = pool.connect();
@@ -55,6 +59,24 @@
     });
   }
 
+  private void onceRested(UpstreamConnection kept, ClientRequest request, BooleanSupplier maySend) {
+    long rest = kept.restLeft();
+    if (rest <= 0) {
+      write(kept, request, maySend);
+      return;
+    }
+    resting = kept;
+    rested = pool.later(() -> {
+      resting = null;
+      if (kept.usable()) {
+        onceRested(kept, request, maySend);
+      } else {
+        kept.close();
+        begin(request, maySend);
+      }
+    }, rest);
+  }
+
   private void write(UpstreamConnection to, ClientRequest request, BooleanSupplier maySend) {
     if (!maySend.getAsBoolean()) {
       to.giveBack();
@@ -111,6 +133,11 @@
 
   @Override
   protected void over(Status how) {
+    if (resting != null) {
+      rested.cancel(false);
+      resting.giveBack();
+      resting = null;
+    }
     stale = how == Status.RESET && connecting == null && connection.nothingHeard() && sinceSent() < STALE_NANOS;
     if (stale) {
       // What was kept for longer has most likely gone the same way, and would cost an attempt each.
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -48,6 +48,9 @@
   private static final long UNTAKEN_NANOS = TimeUnit.SECONDS.toNanos(3);
   /** Or for that part of the time which its client gives it: the client may have written its last byte long before. */
   private static final int UNTAKEN_PART = 2;
+  /** A second copy of an answer may come some milliseconds behind it, and would be taken for the answer to the next request: until
+   * then there is none on this connection. Short against any aim. */
+  private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
   /** A buffer that has grown beyond this is not kept for the next answer: there are hundreds of connections. */
   private static final int SMALL = 8 << 10;
 
@@ -75,6 +78,8 @@
   private boolean whole;
   private boolean surplus;
   public long idleSince;
+  /** When its last answer had come whole; 0 where nothing was asked on it. */
+  private long answeredAt;
 
   public UpstreamConnection(UpstreamPool pool, Reactor on, Channel channel, AnswerDecoder decoder) {
     this.pool = pool;
@@ -88,6 +93,11 @@
     return reactor.sockets().quiet(channel);
   }
 
+  /** How long it still has to be left alone before the next request; 0 or less for not at all. */
+  long restLeft() {
+    return answeredAt == 0 ? 0 : answeredAt + REST_NANOS - reactor.clock().now();
+  }
+
   /** Nothing has come since the last request was written. */
   public boolean nothingHeard() {
     return heard == 0;
@@ -334,6 +344,7 @@
     }
     if (!surplus && !decoder.leftOver() && HttpUtil.isKeepAlive(response) && written.isSuccess()
         && channel.isActive()) {
+      answeredAt = reactor.clock().now();
       pool.giveBack(this);
     } else {
       channel.close();
--- a/src/main/java/pumicekeel/upstream/http/UpstreamPool.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamPool.java
@@ -1,9 +1,12 @@
 package pumicekeel.upstream.http;
 
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.UpstreamAttempt;
@@ -17,6 +20,7 @@
 
   private final ConnectionPool all;
   private final Clock clock;
+  private final EventLoop loop;
   private final InetSocketAddress address;
   private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
   private boolean closed;
@@ -25,6 +29,7 @@
   public UpstreamPool(ConnectionPool all, InetSocketAddress address, Reactor on) {
     this.all = all;
     clock = on.clock();
+    loop = on.loop();
     heardAt = clock.now();
     this.address = address;
   }
@@ -39,14 +44,30 @@
     return new HttpAttempt(number, upstream, decidedAt, this, ending);
   }
 
-  /** The idle connection that was used last, or null; one on which anything waits unread is of no use. */
+  /**
+   * Of the idle connections that have rested the one that was used last; of all, where each rests still; or null where there is none.
+   * One on which anything waits unread is of no use.
+   */
   public UpstreamConnection takeIdle() {
-    UpstreamConnection newest = idle.pollFirst();
-    while (newest != null && !newest.usable()) {
-      newest.close();
-      newest = idle.pollFirst();
+    UpstreamConnection found = null;
+    for (UpstreamConnection next : List.copyOf(idle)) {
+      if (!next.usable()) {
+        idle.remove(next);
+        next.close();
+      } else if (next.restLeft() <= 0) {
+        found = next;
+        break;
+      } else if (found == null) {
+        found = next;
+      }
     }
-    return newest;
+    idle.remove(found);
+    return found;
+  }
+
+  /** Does something on the loop after so long. */
+  ScheduledFuture<?> later(Runnable what, long nanos) {
+    return loop.schedule(what, nanos, TimeUnit.NANOSECONDS);
   }
 
   /** Opens a connection; null where the limit on sockets leaves no room for one. */
--- a/src/test/java/pumicekeel/node/ConnectionPoolTest.java
+++ b/src/test/java/pumicekeel/node/ConnectionPoolTest.java
@@ -8,9 +8,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import pumicekeel.Balancer.DedupScope;
@@ -20,6 +22,7 @@
 import pumicekeel.call.ClientRequest;
 import pumicekeel.call.Payload;
 import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.NioSockets;
 import pumicekeel.upstream.http.ConnectionPool;
 import pumicekeel.upstream.UpstreamAttempt;
 import pumicekeel.upstream.http.UpstreamPool;
@@ -71,6 +74,37 @@
     }
   }
 
+  /** The second copy comes some milliseconds behind the answer: once the next request would have been written. */
+  @Test
+  void secondCopySomeTimeBehindAnAnswerIsNotTheNextSendsAnswer() throws Exception {
+    CountDownLatch wanted = new CountDownLatch(1);
+    CountDownLatch written = new CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      if (request.contains("X-Correlation-Id: 1\n")) {
+        FakeServer.write(out, FakeServer.ok("mine"));
+        wanted.await();
+        FakeServer.write(out, FakeServer.ok("mine"));
+        written.countDown();
+      } else {
+        FakeServer.write(out, FakeServer.ok("next"));
+      }
+    })) {
+      // It stands still: a connection rests until the test says otherwise.
+      AtomicLong time = new AtomicLong(LONG);
+      Reactor on = new Reactor(loop, new Clock(time::get, 1), new NioSockets());
+      UpstreamPool pool = of(loop.submit(() -> new ConnectionPool(on, LONG, LONG, 10)).get(), upstream.address());
+      BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+      loop.execute(() -> send(pool, "1", true, (first, status, answer) -> bodies.add(new String(answer.body()))));
+      assertEquals("mine", bodies.poll(30, TimeUnit.SECONDS));
+      loop.submit(() -> send(pool, "2", true, (second, status, answer) -> bodies.add(new String(answer.body())))).get();
+      wanted.countDown();
+      written.await();
+      time.addAndGet(LONG / 2);
+      assertEquals("next", bodies.poll(30, TimeUnit.SECONDS));
+      assertEquals(2, upstream.connections.size());
+    }
+  }
+
   private UpstreamPool of(ConnectionPool pool, InetSocketAddress address) throws Exception {
     return loop.submit(() -> pool.of(address)).get();
   }
