The test of kept connections that break has them rest first, by a clock of its own

keptConnectionThatWasBrokenTakesThoseWithItThatWereKeptForLonger sent its last request within 10 ms of the answers.

--- a/src/test/java/pumicekeel/node/ConnectionPoolTest.java
+++ b/src/test/java/pumicekeel/node/ConnectionPoolTest.java
@@ -91,8 +91,7 @@
     })) {
       // It stands still: a connection rests until the test says otherwise.
       AtomicLong time = new AtomicLong(LONG);
-      Reactor on = new Reactor(loop, new Clock(time::get, 1), new NioSockets());
-      UpstreamPool pool = of(loop.submit(() -> new ConnectionPool(on, LONG, LONG, 10)).get(), upstream.address());
+      UpstreamPool pool = of(poolBy(time), upstream.address());
       BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
       loop.execute(() -> send(pool, "1", true, (first, status, answer) -> bodies.add(new String(answer.body()))));
       assertEquals("mine", bodies.poll(30, TimeUnit.SECONDS));
@@ -105,6 +104,12 @@
     }
   }
 
+  /** Its time is the test's. */
+  private ConnectionPool poolBy(AtomicLong time) throws Exception {
+    Reactor on = new Reactor(loop, new Clock(time::get, 1), new NioSockets());
+    return loop.submit(() -> new ConnectionPool(on, LONG, LONG, 10)).get();
+  }
+
   private UpstreamPool of(ConnectionPool pool, InetSocketAddress address) throws Exception {
     return loop.submit(() -> pool.of(address)).get();
   }
@@ -149,13 +154,16 @@
       TestNode.until(() -> waiting.get() == 3);
       FakeServer.write(out, FakeServer.ok("fine"));
     })) {
-      UpstreamPool pool = of(pool(LONG, 10), upstream.address());
+      AtomicLong time = new AtomicLong(LONG);
+      UpstreamPool pool = of(poolBy(time), upstream.address());
       for (int i = 0; i < 3; i++) {
         attempt(pool, true);
       }
       for (int i = 0; i < 3; i++) {
         assertEquals(Status.SERVED, outcome());
       }
+      // All have rested, so that the one used last is asked first.
+      time.addAndGet(LONG / 4);
       loop.execute(() -> send(pool, "break", true, (attempt, status, answer) -> outcomes.add(status)));
       assertEquals(Status.RESET, outcome());
       TestNode.until(() -> upstream.closedByPeer.get() == 3);
