A reload's connect and idle times reach the connections to upstreams

OnePool and ServicePool made ConnectionPool and RpcLinks from the first settings; a retune reached the module and the core only. Upstreams that close what is idle sooner would reset what was written to it, and a shorter connect time changed nothing. RetuneReloadTest.connectionsGoByTheNewTimesAsWell: no end of the wait before. Read once still, on purpose: the share of sockets (process limits), the module's window (parts of each class's aim). listsThatArePushedFromNowOnAreFollowed holds the list's mode to a reload as well.

--- a/src/main/java/pumicekeel/node/OnePool.java
+++ b/src/main/java/pumicekeel/node/OnePool.java
@@ -16,6 +16,7 @@
 final class OnePool implements Serving {
 
   private final Configuration configuration;
+  private final ConnectionPool connections;
   private final BalancerCore core;
   private final Discovery discovery;
   private final Door door;
@@ -23,7 +24,7 @@
   OnePool(Configuration configuration, Reactor on, LoopLag lag, Consumer<RuntimeException> defect) {
     this.configuration = configuration;
     var settings = configuration.settings();
-    ConnectionPool connections = new ConnectionPool(on, settings.limits().connectTimeoutNanos(),
+    connections = new ConnectionPool(on, settings.limits().connectTimeoutNanos(),
         settings.limits().connectionIdleNanos(), Rooms.upstreamSockets(configuration));
     core = new BalancerCore(settings, new AdaptiveBalancer(settings, configuration.seed()), on.clock(), on.loop(), lag,
         connections, defect);
@@ -53,6 +54,7 @@
   public void reload(Configuration next) {
     discovery.moveTo(next.discovery());
     discovery.retune(WatchTerms.of(next.settings()), true);
+    connections.tune(next.settings().limits().connectTimeoutNanos(), next.settings().limits().connectionIdleNanos());
     core.retune(next.settings());
   }
 
--- a/src/main/java/pumicekeel/node/ServicePool.java
+++ b/src/main/java/pumicekeel/node/ServicePool.java
@@ -109,6 +109,7 @@
 
   /** Takes over what the platform's settings have otherwise from now on. */
   void retune(Settings next) {
+    connections.tune(next.limits().connectTimeoutNanos(), next.limits().connectionIdleNanos());
     core.retune(next);
   }
 
--- a/src/main/java/pumicekeel/upstream/UpstreamLinks.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamLinks.java
@@ -11,6 +11,9 @@
   /** New figures, for what is opened from now on; a cap of 0 connections to one address is none. */
   void resize(long guaranteed, long most, int connectionsPerUpstream);
 
+  /** Other times: the connect's for what is opened from now on, and how long an upstream keeps what is idle. */
+  void tune(long connectTimeoutNanos, long idleNanos);
+
   /** Ends the pool: closes what is idle and looks for no more. */
   void close();
 }
--- a/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
+++ b/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
@@ -39,9 +39,9 @@
   private final UpstreamSockets sockets;
   private final Shares.Owner share;
   private int perUpstream;
-  private final long idleNanos;
+  private long idleNanos;
   private final Set<UpstreamPool> pools = new LinkedHashSet<>();
-  private final Future<?> sweep;
+  private Future<?> sweep;
 
   /** Connections with a room of their own. */
   public ConnectionPool(Reactor on, long connectTimeoutNanos, long idleNanos, int most) {
@@ -55,13 +55,21 @@
     this.sockets = sockets;
     share = sockets.shares().add(guaranteed, most);
     sockets.add(this);
-    this.idleNanos = (long) (idleNanos * IDLE_PART);
     bootstrap = new Bootstrap().group(on.loop()).channelFactory(on.sockets()::connecting)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(UNSENT_LOW, UNSENT_HIGH))
         .option(ChannelOption.RECVBUF_ALLOCATOR,
-            new AdaptiveRecvByteBufAllocator(READ_LEAST, READ_FIRST, READ_MOST).maxMessagesPerRead(READS_IN_A_ROW))
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
+            new AdaptiveRecvByteBufAllocator(READ_LEAST, READ_FIRST, READ_MOST).maxMessagesPerRead(READS_IN_A_ROW));
+    tune(connectTimeoutNanos, idleNanos);
+  }
+
+  @Override
+  public void tune(long connectTimeoutNanos, long idleNanos) {
+    bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
+    this.idleNanos = (long) (idleNanos * IDLE_PART);
+    if (sweep != null) {
+      sweep.cancel(false);
+    }
     long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
     sweep = on.loop().scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
   }
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
@@ -28,9 +28,9 @@
   private final UpstreamSockets sockets;
   private final Shares.Owner share;
   private final ServerSettings settings;
-  private final long idleNanos;
+  private long idleNanos;
   private final Set<RpcLink> links = new LinkedHashSet<>();
-  private final Future<?> sweep;
+  private Future<?> sweep;
   private int perUpstream;
 
   /** Connections that share a room; nothing of it is guaranteed to them yet. */
@@ -39,12 +39,20 @@
     this.on = on;
     this.sockets = sockets;
     this.settings = settings;
-    this.idleNanos = (long) (idleNanos * IDLE_PART);
     share = sockets.shares().add(0, 0);
     sockets.add(this);
     bootstrap = new Bootstrap().group(on.loop()).channelFactory(on.sockets()::connecting)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
+        .option(ChannelOption.TCP_NODELAY, true);
+    tune(connectTimeoutNanos, idleNanos);
+  }
+
+  @Override
+  public void tune(long connectTimeoutNanos, long idleNanos) {
+    bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
+    this.idleNanos = (long) (idleNanos * IDLE_PART);
+    if (sweep != null) {
+      sweep.cancel(false);
+    }
     long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
     sweep = on.loop().scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
   }
--- a/src/test/java/pumicekeel/node/RetuneReloadTest.java
+++ b/src/test/java/pumicekeel/node/RetuneReloadTest.java
@@ -54,6 +54,33 @@
     return TestClient.look(id, 15_000, "");
   }
 
+  /** Upstreams that close what is idle sooner from now on would reset what is written to it. */
+  @Test
+  void connectionsGoByTheNewTimesAsWell() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      String text = TestNode.json(TestNode.nowhere(), 1, upstream);
+      start(text);
+      assertEquals(200, status(look("1")));
+      assertEquals(0, upstream.closedByPeer.get());
+      reload(text.replace("\"conn-idle-ns\":60000000000", "\"conn-idle-ns\":100000000"));
+      TestNode.until(() -> upstream.closedByPeer.get() == 1);
+    }
+  }
+
+  /** Where lists are pushed from now on, nobody has to ask any more. */
+  @Test
+  void listsThatArePushedFromNowOnAreFollowed() throws Exception {
+    try (FakeServer discovery = new FakeServer((request, connection, out) ->
+        FakeServer.write(out, "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n"))) {
+      String text = TestNode.json(discovery.address(), 1);
+      start(text);
+      TestNode.until(() -> !discovery.requests.isEmpty());
+      reload(text.replace("\"on_request\"", "\"pushed\""));
+      int asked = discovery.requests.size();
+      TestNode.until(() -> discovery.requests.size() > asked + 20);
+    }
+  }
+
   @Test
   void classIsAddedAndDroppedAndClientsThatHaveNotHeardAreServedForAMoment() throws Exception {
     try (FakeServer upstream = FakeServer.serving("fine")) {
