--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -37,6 +37,8 @@
 
   /** A client that was told of its mistake is not read for so long: it may well ask the same again at full speed. */
   private static final long PENALTY_MILLIS = 500;
+  /** What is read so shortly after a rest has waited for its end. */
+  private static final long JUST_RESTED_NANOS = 20_000_000L;
   /** What is dropped at a time behind a request that waits, to see its client leave; then reading rests for so long. A flood
    * of a megabyte is through within 0.2 s, and no client's takes more than a hundredth of the loop's time. */
   private static final int MOST_DROPPED = 64 << 10;
@@ -75,8 +77,10 @@
   private long dropped;
   private ScheduledFuture<?> drops;
   private ScheduledFuture<?> parting;
-  /** What its client may have waited before it was accepted; counts for its first request. */
+  /** What its client may have waited unread, in the line before it was accepted or while the connection rested; counts for the next request. */
   private long waited;
+  private long restSince;
+  private long restedAt;
 
   public ClientHandler(ClientSide side) {
     this.side = side;
@@ -193,6 +197,10 @@
       times.bytesCame(now());
       if (phase == Phase.IDLE) {
         become(Phase.COMING);
+        if (restedAt != 0 && now() - restedAt < JUST_RESTED_NANOS) {
+          waited = restedAt - restSince;
+        }
+        restedAt = 0;
       }
       return true;
     }
@@ -347,7 +355,7 @@
 
   /** A request with what is left of its time, of which its client may have spent some in line or while the loop was behind. */
   private ClientRequest inTime(ClientRequest request) {
-    long spent = Math.max(times.neverAnswered() ? waited : 0, side.behindNanos());
+    long spent = Math.max(waited, side.behindNanos());
     return spent > 0 ? request.withLeft(request.leftNanos() - spent) : request;
   }
 
@@ -464,9 +472,11 @@
   /** Slows a client that breaks the protocol; ending its connection would only bring it back at once. */
   private void pause() {
     resting = true;
+    restSince = now();
     read();
     ctx.executor().schedule(() -> {
       resting = false;
+      restedAt = now();
       read();
     }, PENALTY_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -570,6 +580,7 @@
   /** The last byte of an answer is on its way. */
   private void over(ChannelFuture written) {
     taken = null;
+    waited = 0;
     leaveLane();
     times.answered(now());
     if (upload != null && phase != Phase.SKIPPING) {
--- a/src/test/java/pumicekeel/node/LateLoopTest.java
+++ b/src/test/java/pumicekeel/node/LateLoopTest.java
@@ -16,6 +16,29 @@
   private static final int LEFT_MILLIS = 15_000;
   private static final long STALL_MILLIS = 3_000;
 
+  /** What stood unread while its connection rested has spent that time: its client counts from when it sent. */
+  @Test
+  void restOfAConnectionIsSpentOfTheTimeOfWhatWaitedForItsEnd() throws Exception {
+    long sentWithinNanos = 200_000_000L;
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      boolean soon = false;
+      for (int i = 0; !soon; i++) {
+        try (TestClient client = new TestClient(node.address)) {
+          long asked = System.nanoTime();
+          assertEquals(400, client.call(TestClient.look("bad" + i, 15_000, "").replace("acme", "nobody")).status());
+          client.send(TestClient.look("good" + i, 15_000, ""));
+          soon = System.nanoTime() - asked < sentWithinNanos;
+          assertEquals(200, client.read().status());
+        }
+      }
+      String last = upstream.requests.get(upstream.requests.size() - 1);
+      Matcher left = Pattern.compile("(?i)x-time-left-ms: (\\d+)").matcher(last);
+      assertTrue(left.find());
+      assertTrue(Long.parseLong(left.group(1)) <= 15_000 - 500, left.group());
+    }
+  }
+
   @Test
   void whatARequestWaitedForTheLoopIsSpentOfItsTime() throws Exception {
     try (FakeServer upstream = FakeServer.serving("fine")) {
