An answer that is passed on ends with its client's time, as all others do

An answer that is not whole 0.7 s after its first byte is passed on (UpstreamConnection.KEPT_NANOS). UpstreamAttempt.begin cancelled the attempt's time-out then, BalancerCore.begins the guard, and what was left was UpstreamConnection.SILENCE_NANOS, 10 s of silence: an upstream that vanished, was cut off or hung in the middle of its answer left its client without an end beyond its time, and one that trickled did so for ever.

Now the time-out goes on. An answer over 64 KiB is untimed, since its reader may be slow; but once its client's time is up, 0.3 s without a byte end it as they do before it is passed on. A cut is one that the client can tell.

SpoiltAnswerTest.answerThatIsPassedOnIsCutOnceItsClientsTimeIsUp, 3 s of time: an upstream that falls silent, 10,712 ms before; one that trickles, not ended after 50 s. Both within 8 s now.

--- a/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
@@ -31,6 +31,10 @@
   private final Ending ending;
   private ScheduledFuture<?> timeout;
   private long timeoutNanos;
+  /** When its client's time is up. */
+  private long timeUpAt;
+  /** Its answer is large and may take longer than that, as long as it comes. */
+  private boolean untimed;
   private boolean sent;
   private long sentAt;
   private Clock clock;
@@ -51,8 +55,7 @@
   /** Sends on a connection that is there or a new one; {@code maySend} is asked again right before the first byte. */
   public final void start(ClientRequest request, long nanos, BooleanSupplier maySend, Clock by, EventLoop loop) {
     clock = by;
-    timeoutNanos = nanos;
-    timeout = loop.schedule(() -> end(Status.TIMEOUT, null), Math.max(0, nanos), TimeUnit.NANOSECONDS);
+    wait(nanos, loop);
     begin(request, maySend);
   }
 
@@ -84,21 +87,41 @@
       return;
     }
     timeout.cancel(false);
-    timeoutNanos = nanos;
     sentAt = sent ? clock.now() : sentAt;
-    timeout = loop.schedule(() -> end(Status.TIMEOUT, null), Math.max(0, nanos), TimeUnit.NANOSECONDS);
+    wait(nanos, loop);
   }
 
-  /** An answer begins that is passed on while it comes: from now on it has no time limit of the request's. */
+  private void wait(long nanos, EventLoop loop) {
+    timeoutNanos = nanos;
+    timeUpAt = clock.now() + nanos;
+    timeout = loop.schedule(this::timeIsUp, Math.max(0, nanos), TimeUnit.NANOSECONDS);
+  }
+
+  private void timeIsUp() {
+    if (!untimed) {
+      end(Status.TIMEOUT, null);
+    }
+  }
+
+  /** An answer begins that is passed on while it comes; its client's time limits it still, unless it is {@link #untimed}. */
   public final BodySink begin(AnswerStart start, Flow source) {
     BodySink sink = status != null ? null : ending.begins(this, start, source);
     if (sink != null) {
-      timeout.cancel(false);
       begunAt = clock.now();
     }
     return sink;
   }
 
+  /** The answer that is passed on is a large one: it may last for as long as it comes. */
+  public final void untimed() {
+    untimed = true;
+  }
+
+  /** What is left of its client's time; 0 or less for nothing. */
+  public final long leftNanos() {
+    return timeUpAt - clock.now();
+  }
+
   /** The last byte has gone out. */
   protected final void written() {
     if (whenWritten != null) {
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -40,7 +40,8 @@
   private static final byte[] START = "HTTP/1.1 ".getBytes(StandardCharsets.US_ASCII);
   /** An answer that has begun and of which nothing more comes for so long is spoilt: nobody has had any of it yet. */
   private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-  /** One that is being passed on: its client waits for what the upstream still gives, unless it gives nothing. */
+  /** One that is being passed on: its client waits for what the upstream still gives, unless it gives nothing. Once the client's time is
+   * up it waits for nothing that does not come, and is owed an end that it can see. */
   private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(10);
   /** One that still comes after so long is passed on as it is: nothing may be held back for two seconds. */
   private static final long KEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
@@ -271,6 +272,9 @@
         && !passOn()) {
       return false;
     }
+    if (sink != null && received > Answer.MAX_BODY) {
+      attempt.untimed();
+    }
     if (sink == null) {
       piece.readBytes(body, piece.readableBytes());
     } else if (piece.isReadable()) {
@@ -284,8 +288,11 @@
     if (AnswerHead.statusOf(response) != Status.SERVED) {
       return true;
     }
-    sink = attempt.begin(new AnswerStart(response.headers().get(HttpHeaderNames.CONTENT_TYPE),
-        HttpUtil.getContentLength(response, -1L)), this::flow);
+    long length = HttpUtil.getContentLength(response, -1L);
+    sink = attempt.begin(new AnswerStart(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length), this::flow);
+    if (sink != null && length > Answer.MAX_BODY) {
+      attempt.untimed();
+    }
     if (sink != null && body.size() > 0) {
       sink.piece(Unpooled.wrappedBuffer(body.toByteArray()));
     }
@@ -318,12 +325,14 @@
 
   /** Ends an answer of which nothing comes any more; one whose client takes nothing is waited for by its front. */
   private void look(ChannelHandlerContext ctx) {
-    long quiet = reactor.clock().now() - heardAt;
-    long most = sink == null ? STALL_NANOS : SILENCE_NANOS;
-    if (!held && quiet >= most) {
+    long quiet = held ? 0 : reactor.clock().now() - heardAt;
+    long left = attempt.leftNanos();
+    long most = sink == null || left <= 0 ? STALL_NANOS : SILENCE_NANOS;
+    if (quiet >= most) {
       broken();
     } else {
-      stalled = ctx.executor().schedule(() -> look(ctx), held ? most : most - quiet, TimeUnit.NANOSECONDS);
+      long next = sink == null || left <= 0 ? most - quiet : Math.min(most - quiet, left);
+      stalled = ctx.executor().schedule(() -> look(ctx), next, TimeUnit.NANOSECONDS);
     }
   }
 
--- a/src/test/java/pumicekeel/node/SpoiltAnswerTest.java
+++ b/src/test/java/pumicekeel/node/SpoiltAnswerTest.java
@@ -4,11 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Upstreams that answer what can't be used, or more than was asked for. */
 class SpoiltAnswerTest {
@@ -100,6 +102,40 @@
     }
   }
 
+  /** What trickles is passed on after a while; its client still has to see an end in its own time. */
+  @ParameterizedTest(name = "{0}")
+  @ValueSource(strings = {"falls silent", "never ends"})
+  void answerThatIsPassedOnIsCutOnceItsClientsTimeIsUp(String then) throws Exception {
+    long left = 3_000;
+    // Far beyond the client's time, and before any other limit would end it.
+    long late = 8_000;
+    CountDownLatch begun = new CountDownLatch(1);
+    AtomicLong bytes = new AtomicLong();
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+      while (then.equals("never ends") || begun.getCount() > 0) {
+        FakeServer.write(out, "x");
+        bytes.incrementAndGet();
+        // The upstream's own pace: each piece sooner than an answer is given up.
+        Thread.sleep(50);
+      }
+    })) {
+      TestNode node = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        long start = System.nanoTime();
+        client.send(TestClient.look("1", left, ""));
+        assertEquals('H', client.readByte());
+        begun.countDown();
+        while (!client.ended()) {
+          assertTrue(bytes.get() < 1_000, "cut short");
+        }
+        long took = (System.nanoTime() - start) / 1_000_000;
+        assertTrue(took < late, "its client saw an end after " + took + " ms");
+        TestNode.until(() -> upstream.closedByPeer.get() == 1);
+      }
+    }
+  }
+
   @Test
   void interimAnswersAndAnUnreadableReportSpoilNothing() throws Exception {
     try (FakeServer upstream = new FakeServer((request, connection, out) -> {
--- a/src/test/java/pumicekeel/node/TestClient.java
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -41,6 +41,10 @@
     return new Reply(Integer.parseInt(lower.substring(9, 12)), lower, new String(body, StandardCharsets.UTF_8));
   }
 
+  int readByte() throws IOException {
+    return in.read();
+  }
+
   Reply call(String text) throws IOException {
     return send(text).read();
   }
