Half of the time that earns nothing is kept for the answer, by each class's own figures

What is ours: BalancerCore.STALL_MARGIN was 0.3 s whatever the class, 60 ms where late answers earn something. Now time past the aim by a quarter is parted in two by the class's figures, in proportion to what late answers do not earn, 1 s at most: 0.75 s for an aim of 0.4 s and 2 s of time. It is wider for long times and narrower for short ones; requests that would have been answered between earn nothing either way.

BalancerCoreTest.whatEarnsNothingIsKeptForAStallOfTheProcess has the figures, and those of classes whose late answers earn a part.

--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -51,10 +51,12 @@
   /** An answer goes out this long before the client stops waiting, so that a busy core still is in time. */
   public static final long ANSWER_MARGIN_NANOS = 60_000_000L;
   /**
-   * What lies past a class's aim by a quarter earns nothing where late answers don't; up to so much of it is kept for the answer too,
-   * so that a process that stands still for longer than clients forgive loses no request.
+   * Of the time past a class's aim by a quarter, that part which earns nothing is parted between waiting and answering, so that a process
+   * that stands still at its end loses no request, however short or long its time is. Not more than this, though: an answer that earns
+   * nothing is still one, and a process that stands still for a second and more is beyond help.
    */
-  private static final long STALL_MARGIN_NANOS = 300_000_000L;
+  private static final long STALL_MARGIN_NANOS = 1_000_000_000L;
+  private static final double STALL_PART = 0.5;
   private static final double PAST_AIM = 1.25;
   /** The node's own answer where the module gave none in time, after the module's deadline. */
   private static final long GUARD_NANOS = 20_000_000L;
@@ -157,9 +159,11 @@
   /** Of a client's time, what the module has, in nanoseconds; 0 or less for none. */
   public static long timeFor(ClientRequest request) {
     long left = request.leftNanos();
-    boolean earnsLate = request.type().lateWorth() > 0 || request.type().aimStretch() > 0;
-    long pastAim = earnsLate ? 0 : left - (long) (PAST_AIM * request.type().aimNanos());
-    return left - Math.max(ANSWER_MARGIN_NANOS, Math.min(STALL_MARGIN_NANOS, pastAim));
+    // How long a class's aim is for a request is not known where it goes by its work.
+    double earnsNothing = request.type().aimStretch() > 0 ? 0 : Math.max(0, 1 - request.type().lateWorth());
+    double pastAim = left - PAST_AIM * request.type().aimNanos();
+    long kept = (long) Math.min(STALL_MARGIN_NANOS, STALL_PART * earnsNothing * pastAim);
+    return left - Math.max(ANSWER_MARGIN_NANOS, kept);
   }
 
   /** The last byte of a request has come that was taken before: its time begins. */
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -140,10 +140,21 @@
   @Test
   void whatEarnsNothingIsKeptForAStallOfTheProcess() throws Exception {
     start((event, out) -> {});
-    assertEquals(19_700, BalancerCore.timeFor(request("1", "look", 20_000)) / 1_000_000);
-    assertEquals(2_500, BalancerCore.timeFor(request("2", "look", 2_700)) / 1_000_000);
-    assertEquals(2_340, BalancerCore.timeFor(request("3", "look", 2_400)) / 1_000_000);
+    assertEquals(19_000, BalancerCore.timeFor(request("1", "look", 20_000)) / 1_000_000);
+    assertEquals(2_600, BalancerCore.timeFor(request("2", "look", 2_700)) / 1_000_000);
+    assertEquals(2_440, BalancerCore.timeFor(request("3", "look", 2_500)) / 1_000_000);
     assertEquals(840, BalancerCore.timeFor(request("4", "look", 900)) / 1_000_000);
+    // A class of 0.4 and 2 s keeps 0.75 s of it, one whose late answers earn a half 0.375 s, one that earns as much late 60 ms.
+    assertEquals(1_250, timeLeft(0, 0));
+    assertEquals(1_625, timeLeft(0.5, 0));
+    assertEquals(1_940, timeLeft(1, 0));
+    assertEquals(1_940, timeLeft(0, 1));
+  }
+
+  private long timeLeft(double lateWorth, double aimStretch) throws Exception {
+    Balancer.RequestClass type = new Balancer.RequestClass("look", Balancer.Effect.SAFE, Balancer.DedupScope.ALL, 0, 400_000_000L,
+        aimStretch, 2_000_000_000L, 1, lateWorth, false);
+    return BalancerCore.timeFor(request("5", "look", 2_000).withType(type)) / 1_000_000;
   }
 
   @Test
--- a/src/test/java/pumicekeel/node/LateLoopTest.java
+++ b/src/test/java/pumicekeel/node/LateLoopTest.java
@@ -63,6 +63,32 @@
     }
   }
 
+  /** Its upstream never answers, and the process stands still just as its time is up: it is not lost, for half a second is forgiven. */
+  @Test
+  void standstillAtTheEndOfARequestsTimeLosesItNot() throws Exception {
+    long leftMillis = 4_000;
+    long forgivenMillis = 500;
+    long stillMillis = 950;
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {})) {
+      TestNode t = new TestNode(TestNode.nowhere(), 1, upstream);
+      try (TestClient client = new TestClient(t.address)) {
+        long asked = System.nanoTime();
+        client.send(TestClient.look("a", leftMillis, ""));
+        TestNode.until(() -> upstream.requests.size() == 1);
+        long from = asked + (left(upstream, 0) - 50) * 1_000_000L;
+        TestNode.until(() -> System.nanoTime() > from);
+        CountDownLatch goesOn = t.standStill();
+        TestNode.until(() -> System.nanoTime() > from + stillMillis * 1_000_000);
+        goesOn.countDown();
+        client.read();
+        long took = (System.nanoTime() - asked) / 1_000_000;
+        assertTrue(took < leftMillis + forgivenMillis, "answered after " + took + " ms");
+      } finally {
+        t.node.close();
+      }
+    }
+  }
+
   private static void sleep() {
     try {
       Thread.sleep(STALL_MILLIS);
