A request that has come in part when nothing more is taken is refused, not cut off

Its rest may stand in the kernel by then, so that its client has sent all of it, has it for taken and finds a reset; a close between requests alone is one that a client forgives. Now it is answered 503, its rest is dropped, and the connection ends in order once its client has read that, or 0.3 s later. What is idle is closed as before.

StopTest.requestThatHasComeInPartAtTheEndIsRefused, half a head and half a body, its rest sent after: end of stream with no answer before, 503 and an end in order now; the upstream's log is empty both times.

--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -74,6 +74,8 @@
   private boolean resting;
   /** Nothing more is read from it, ever. */
   private boolean deaf;
+  /** A request was refused before it had come whole: its client still sends. */
+  private boolean restDue;
   private long dropped;
   private ScheduledFuture<?> drops;
   private ScheduledFuture<?> parting;
@@ -175,6 +177,16 @@
     ctx.close();
   }
 
+  /** Ends a connection that owes no answer. A request that has come in part is refused: its rest may be in the socket, and its client waits. */
+  void endUntaken() {
+    if (phase == Phase.COMING) {
+      restDue = true;
+      reject(503, "nothing more is taken here");
+    } else {
+      close();
+    }
+  }
+
   /** Closes once all that was written has gone out: an answer must not be cut short. */
   public void close() {
     // Chosen once: an idle connection whose close is under way makes no more room.
@@ -603,7 +615,7 @@
 
   /** A close with anything unread would reset the connection, and its client might not see its answer: then that is dropped first. */
   private void part() {
-    boolean quiet = dropped == 0 && side.drop(ctx.channel(), MOST_DROPPED) <= 0;
+    boolean quiet = !restDue && dropped == 0 && side.drop(ctx.channel(), MOST_DROPPED) <= 0;
     if (quiet || !(ctx.channel() instanceof DuplexChannel both)) {
       ctx.close();
       return;
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -314,6 +314,6 @@
     closing = true;
     long now = clock().now();
     List.copyOf(connections).stream().filter(c -> c.untaken()
-        && (!c.idle() || c.idleFor(now) > (c.neverAsked() ? NEW_NANOS : JUST_NANOS))).forEach(ClientHandler::close);
+        && (!c.idle() || c.idleFor(now) > (c.neverAsked() ? NEW_NANOS : JUST_NANOS))).forEach(ClientHandler::endUntaken);
   }
 }
--- a/src/test/java/pumicekeel/node/StopTest.java
+++ b/src/test/java/pumicekeel/node/StopTest.java
@@ -75,6 +75,26 @@
     }
   }
 
+  /** Nothing more is taken, and half a request has come: its client has sent the rest, and must not find a closed door. */
+  @ParameterizedTest(name = "half {0}")
+  @ValueSource(strings = {"a head", "a body"})
+  void requestThatHasComeInPartAtTheEndIsRefused(String half) throws Exception {
+    String whole = TestClient.order("1", 15_000);
+    int at = half.equals("a head") ? 60 : whole.length() - 2;
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestNode node = new TestNode(TestNode.nowhere(), 3, upstream);
+      try (TestClient client = new TestClient(node.address)) {
+        client.send(whole.substring(0, at));
+        node.pass();
+        node.node.loop().submit(() -> node.node.listeners().closeUntaken()).sync();
+        client.send(whole.substring(at));
+        assertEquals(503, client.read().status());
+        assertTrue(client.endedInOrder(), "and not by a reset");
+      }
+      assertEquals(List.of(), upstream.requests);
+    }
+  }
+
   /** A close with bytes unread resets: the last answer may be lost with it. */
   @Test
   void lastAnswerReachesAClientThatStillSends() throws Exception {
