--- a/src/main/java/pumicekeel/Balancer.java
+++ b/src/main/java/pumicekeel/Balancer.java
@@ -101,6 +101,8 @@
       check(limits.maxAttempts > 0, "max attempts must be above 0");
       check(limits.maxOpen > 0, "max open must be above 0");
       check(limits.maxRetryAfterNanos >= 0, "max retry-after must not be negative");
+      check(limits.connectTimeoutNanos > 0, "connect timeout must be above 0");
+      check(limits.connectionIdleNanos > 0, "idle time of connections must be above 0");
       check(contract.answerSlackNanos >= 0, "answer slack must not be negative");
       check(contract.askWithinNanos >= 0, "ask-within must not be negative");
       check(contract.drainGraceNanos >= 0, "drain grace must not be negative");
--- a/src/main/java/pumicekeel/adapter/Decoder.java
+++ b/src/main/java/pumicekeel/adapter/Decoder.java
@@ -30,6 +30,10 @@
 /** Translates the wire's events and settings into the module's. */
 public final class Decoder {
 
+  /** Where the settings say nothing: as the protocol's sites have them. */
+  private static final long CONNECT_TIMEOUT = 250_000_000L;
+  private static final long IDLE = 15_000_000_000L;
+
   private static final Map<String, Status> STATUS = Map.of("served", Status.SERVED, "server_error", Status.ERROR,
       "turned_away", Status.FULL, "no_answer", Status.TIMEOUT, "no_connection", Status.CONNECT_FAILED,
       "connection_lost", Status.RESET, "called_off", Status.CANCELLED, "not_sent", Status.NOT_SENT);
@@ -91,6 +95,12 @@
     return new ListNews(kind, entries);
   }
 
+  /** A time of which 0 says nothing, like its absence: as a limit it would end every connection at once. */
+  private static long orDefault(Fields f, String name, long otherwise) {
+    long value = f.integer(name, otherwise);
+    return value == 0 ? otherwise : value;
+  }
+
   /** The settings; unknown keys are skipped, absent ones get the defaults written here. */
   public static Settings settings(Fields f) {
     List<RequestClass> classes = new ArrayList<>();
@@ -110,8 +120,8 @@
     Limits limits = new Limits(l.bool("cancel", false), l.bool("probing", false), l.bool("peers", false),
         l.bool("second-copies", false), l.bool("retry-after", false), l.integer("max-retry-after-ns", 0),
         (int) l.integer("max-attempts", 1), (int) l.integer("most-held", Integer.MAX_VALUE),
-        (int) l.integer("multiplex", 1), l.integer("connect-timeout-ns", 250_000_000L),
-        l.integer("conn-idle-ns", 15_000_000_000L));
+        (int) l.integer("multiplex", 1), orDefault(l, "connect-timeout-ns", CONNECT_TIMEOUT),
+        orDefault(l, "conn-idle-ns", IDLE));
     boolean onRequest = f.word("registry-mode", LIST_MODE, false);
     Fields c = f.nested("contract");
     Contract contract = new Contract(c.integer("answer-slack-ns", 0),
--- a/src/test/java/pumicekeel/config/ConfigurationTest.java
+++ b/src/test/java/pumicekeel/config/ConfigurationTest.java
@@ -8,7 +8,11 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import pumicekeel.Balancer.Settings;
+import pumicekeel.adapter.Decoder;
+import pumicekeel.adapter.Fields;
 
 /** What a fleet's daemon tells an instance beside the one configuration of all. */
 class ConfigurationTest {
@@ -34,4 +38,25 @@
   void groupThatIsNoneIsRefused(String group) {
     assertTrue(assertThrows(IllegalArgumentException.class, () -> read(group)).getMessage().contains("PROXY_GROUP"));
   }
+
+  /** A connect time of a millisecond would fail every connect, an idle time of nothing close every connection. */
+  @ParameterizedTest
+  @CsvSource({"'', 250000000, 15000000000", "'\"connect-timeout-ns\":0,\"conn-idle-ns\":0', 250000000, 15000000000",
+      "'\"connect-timeout-ns\":7,\"conn-idle-ns\":9', 7, 9"})
+  void timesOfConnectionsThatSayNothingAreTheDefaults(String limits, long connect, long idle) throws Exception {
+    assertEquals(List.of(connect, idle), List.of(settings(limits).limits().connectTimeoutNanos(),
+        settings(limits).limits().connectionIdleNanos()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"'\"connect-timeout-ns\":-1', connect timeout must be above 0", "'\"conn-idle-ns\":-5', idle time of connections must be above 0",
+      "'\"max-attempts\":0', max attempts must be above 0"})
+  void limitsThatCannotBeAreNamed(String limits, String what) {
+    assertEquals("settings: " + what, assertThrows(IllegalArgumentException.class, () -> settings(limits)).getMessage());
+  }
+
+  private static Settings settings(String limits) throws Exception {
+    return Decoder.settings(Fields.parse("settings",
+        "{\"categories\":[{\"name\":\"c\",\"aim-ns\":400000000}],\"limits\":{" + limits + "}}"));
+  }
 }
