--- a/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
@@ -55,7 +55,7 @@
   /** Sends on a connection that is there or a new one; {@code maySend} is asked again right before the first byte. */
   public final void start(ClientRequest request, long nanos, BooleanSupplier maySend, Clock by, EventLoop loop) {
     clock = by;
-    wait(nanos, loop);
+    arm(nanos, loop);
     begin(request, maySend);
   }
 
@@ -88,10 +88,10 @@
     }
     timeout.cancel(false);
     sentAt = sent ? clock.now() : sentAt;
-    wait(nanos, loop);
+    arm(nanos, loop);
   }
 
-  private void wait(long nanos, EventLoop loop) {
+  private void arm(long nanos, EventLoop loop) {
     timeoutNanos = nanos;
     timeUpAt = clock.now() + nanos;
     timeout = loop.schedule(this::timeIsUp, Math.max(0, nanos), TimeUnit.NANOSECONDS);
