Soak harness and failing tests: requests are lost while system calls fail for a moment

Real processes of the deploy file's run line with a preloaded library that makes calls fail as the manual pages say (call_faults.c, built with cc), own clients, upstreams and discovery, judged from their logs alone (SoakJudge).

FreePorts is moved out of FleetRig.

--- a/src/main/java/pumicekeel/cli/RigCommand.java
+++ b/src/main/java/pumicekeel/cli/RigCommand.java
@@ -16,7 +16,12 @@
     name = "rig",
     mixinStandardHelpOptions = true,
     description = "Real processes on this machine, judged by stand-ins.",
-    subcommands = {RigCommand.Fleet.class, RigCommand.Throughput.class, RigScaleCommand.class})
+    subcommands = {
+      RigCommand.Fleet.class,
+      RigCommand.Throughput.class,
+      RigScaleCommand.class,
+      RigSoakCommand.class
+    })
 final class RigCommand implements Callable<Integer> {
 
   @Spec
--- a/src/main/java/pumicekeel/rig/FleetThroughput.java
+++ b/src/main/java/pumicekeel/rig/FleetThroughput.java
@@ -90,7 +90,7 @@
 
   private double measure(int instances, String configuration) throws Exception {
     Path folder = Files.createTempDirectory("rig");
-    int port = FleetRig.freePorts(instances);
+    int port = FreePorts.block(instances);
     Path config = Files.writeString(folder.resolve("config.json"), configuration);
     Path run = folder.resolve("run");
     Daemon daemon = new Daemon(
--- /dev/null
+++ b/src/main/java/pumicekeel/rig/soak/SoakSettings.java
@@ -0,0 +1,76 @@
+package pumicekeel.rig.soak;
+
+import java.util.List;
+
+/** The settings that a soak is played with: a class of each effect, with deadlines that the run chooses. */
+public record SoakSettings(long shortMillis, long longMillis, long windowMillis) {
+
+  /** How a class may be repeated. */
+  public enum Effect {
+    /** Safe to repeat: GET. */
+    SAFE,
+    /** Repeats are dropped at all upstreams of a cell: POST with a key. */
+    KEYED_BY_CELL,
+    /** Repeats are dropped at all upstreams: POST with a key. */
+    KEYED_BY_ALL,
+    /** Never repeated once it may have run: POST without a key. */
+    UNSAFE
+  }
+
+  /** A class of requests; the deadline in ms. */
+  public record RequestClass(String name, Effect effect, long deadlineMillis) {}
+
+  /** The deadlines that clients use when the run asks for none that are short. */
+  public static final SoakSettings USUAL = new SoakSettings(1_500, 2_500, 2_000);
+
+  /** The grace in which sends to a leaving upstream end, ms. */
+  public static final long DRAIN_GRACE_MILLIS = 2_000;
+  /** The window of a cold upstream's budget, ms. */
+  public static final long COLD_WINDOW_MILLIS = 3_000;
+  /** What a cold upstream bears of its capacity, at the start, and how many times of that may come. */
+  public static final double COLD_FROM = 0.3;
+
+  public static final double COLD_MULTIPLE = 3;
+  /** Until an upstream counts as warm, ms. */
+  public static final long WARM_WITHIN_MILLIS = 8_000;
+
+  /** The four classes. */
+  public List<RequestClass> classes() {
+    return List.of(
+        new RequestClass("rate-lookup", Effect.SAFE, shortMillis),
+        new RequestClass("quote-issue", Effect.KEYED_BY_CELL, longMillis),
+        new RequestClass("draft-save", Effect.KEYED_BY_ALL, longMillis),
+        new RequestClass("order-place", Effect.UNSAFE, longMillis));
+  }
+
+  /** As the platform writes settings; lists are pushed or asked for. */
+  public String json(boolean pushed) {
+    StringBuilder categories = new StringBuilder();
+    for (RequestClass c : classes()) {
+      categories
+          .append(categories.isEmpty() ? "" : ",")
+          .append("{\"name\":\"" + c.name() + "\"," + effect(c) + ",\"aim-ns\":200000000"
+              + ",\"deadline-ns\":" + c.deadlineMillis() * 1_000_000 + "}");
+    }
+    return "{\"categories\":[" + categories + "],"
+        + "\"projects\":[{\"name\":\"demo\",\"portion\":1.0,\"quota-per-s\":100000.0}],"
+        + "\"registry-mode\":\"" + (pushed ? "pushed" : "on_request") + "\","
+        + "\"limits\":{\"cancel\":true,\"retry-after\":true,\"max-retry-after-ns\":1000000000,"
+        + "\"max-attempts\":4,\"second-copies\":true,\"connect-timeout-ns\":200000000,"
+        + "\"conn-idle-ns\":5000000000},"
+        + "\"contract\":{\"drain-grace-ns\":" + DRAIN_GRACE_MILLIS * 1_000_000
+        + ",\"answer-slack-ns\":8000000,\"cold-from\":" + COLD_FROM + ",\"warm-within-ns\":"
+        + WARM_WITHIN_MILLIS * 1_000_000 + ",\"overload-for-ns\":" + COLD_WINDOW_MILLIS * 1_000_000
+        + ",\"fall-multiple\":" + COLD_MULTIPLE + "}}";
+  }
+
+  private String effect(RequestClass c) {
+    String window = ",\"window-ns\":" + windowMillis * 1_000_000;
+    return switch (c.effect()) {
+      case SAFE -> "\"effect\":\"idempotent\"";
+      case KEYED_BY_CELL -> "\"effect\":\"deduplicated\",\"dedup-scope\":\"cell\"" + window;
+      case KEYED_BY_ALL -> "\"effect\":\"deduplicated\",\"dedup-scope\":\"all\"" + window;
+      case UNSAFE -> "\"effect\":\"at_most_once\"";
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/pumicekeel/rig/soak/SoakUpstream.java
@@ -0,0 +1,168 @@
+package pumicekeel.rig.soak;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.Closeable;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import pumicekeel.rig.soak.RequestLog.Happening;
+
+/** An upstream that notes each request that comes whole, the time it was told, and whether its answer was still wanted. */
+final class SoakUpstream implements Closeable {
+
+  /** How it behaves from now on. */
+  enum Behaviour {
+    SERVE,
+    ERROR,
+    /** Turns requests away, with the word that they never ran. */
+    FULL,
+    /** Answers nothing. */
+    HANG,
+    /** Resets the connection under a request. */
+    RESET
+  }
+
+  private static final int MOST_BODY = 64 << 10;
+  private static final int BACKLOG = 1024;
+
+  private final String name;
+  private final RequestLog log;
+  private final Channel listener;
+  private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
+  private volatile Behaviour behaviour = Behaviour.SERVE;
+  private volatile int delayMillis = 4;
+
+  SoakUpstream(String name, EventLoopGroup group, RequestLog log) throws InterruptedException {
+    this.name = name;
+    this.log = log;
+    listener = new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            connections.add(channel);
+            channel.closeFuture().addListener(closed -> connections.remove(channel));
+            channel
+                .pipeline()
+                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Handler());
+          }
+        })
+        .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+        .sync()
+        .channel();
+  }
+
+  String name() {
+    return name;
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  void behave(Behaviour next) {
+    behaviour = next;
+  }
+
+  /** Its work on each request takes about so long. */
+  void delay(int millis) {
+    delayMillis = millis;
+  }
+
+  /** Resets all of its connections. */
+  void resetConnections() {
+    connections.forEach(SoakUpstream::reset);
+  }
+
+  private static void reset(Channel connection) {
+    connection.eventLoop().execute(() -> {
+      if (connection.isActive()) {
+        connection.config().setOption(ChannelOption.SO_LINGER, 0);
+      }
+      connection.close();
+    });
+  }
+
+  @Override
+  public void close() {
+    listener.close().syncUninterruptibly();
+    connections.forEach(Channel::close);
+  }
+
+  private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private String open;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      String id = request.headers().get("X-Correlation-Id", "");
+      long told = Long.parseLong(request.headers().get("X-Time-Left-Ms", "-1"));
+      log.add(id, name, Happening.RECEIVED, told, request.uri());
+      open = id;
+      Behaviour now = behaviour;
+      if (now == Behaviour.RESET) {
+        reset(ctx.channel());
+      } else if (now != Behaviour.HANG) {
+        int most = 1 + 2 * delayMillis;
+        ctx.executor()
+            .schedule(
+                () -> answer(ctx, id, now),
+                ThreadLocalRandom.current().nextInt(most),
+                TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void answer(ChannelHandlerContext ctx, String id, Behaviour how) {
+      if (!ctx.channel().isActive()) {
+        return;
+      }
+      HttpResponseStatus status = switch (how) {
+        case SERVE -> HttpResponseStatus.OK;
+        case FULL -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+        default -> HttpResponseStatus.INTERNAL_SERVER_ERROR;
+      };
+      var answer = new DefaultFullHttpResponse(
+          HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(id, StandardCharsets.UTF_8));
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+      if (how == Behaviour.FULL) {
+        answer.headers().set("X-Unprocessed", "1");
+      }
+      open = null;
+      log.add(id, name, Happening.REPLIED, status.code(), how == Behaviour.FULL ? "never ran" : "");
+      ctx.writeAndFlush(answer);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (open != null) {
+        log.add(open, name, Happening.GIVEN_UP, 0, "");
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/rig/soak/CallFaultsTest.java
@@ -0,0 +1,68 @@
+package pumicekeel.rig.soak;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.ThreadLocalRandom;
+import org.junit.jupiter.api.Test;
+import pumicekeel.rig.soak.SoakPlan.Disturbance;
+
+/**
+ * One real process under load while calls of the system fail, 3 in 10 in the first part of each 2 s: each request gets its answer, and
+ * new clients are served once the calls work again.
+ */
+class CallFaultsTest {
+
+  private static final int PER_MILLE = 300;
+
+  private static void plays(SoakPlan plan) throws Exception {
+    SoakRun.Result result = new SoakRun(plan).play();
+    System.out.println(result.line());
+    for (CallKind kind : plan.rates().keySet()) {
+      assertTrue(
+          result.injected().getOrDefault(kind, 0L) > 0,
+          "the fault was injected: " + kind + ", " + result.line());
+    }
+    assertTrue(result.held(), () -> result.line() + "\n" + String.join("\n", result.report()));
+  }
+
+  private static long seed() {
+    return ThreadLocalRandom.current().nextInt(1_000_000);
+  }
+
+  @Test
+  void requestsAreAnsweredWhileAcceptingFails() throws Exception {
+    plays(SoakPlan.calls(
+        seed(), PER_MILLE, CallKind.ACCEPT, CallKind.ACCEPT_CONNECTION, CallKind.SOCKET_NAME));
+  }
+
+  @Test
+  void requestsAreAnsweredWhileReadingAndWritingFail() throws Exception {
+    plays(SoakPlan.calls(
+        seed(),
+        PER_MILLE,
+        CallKind.READ_ERROR,
+        CallKind.READ_SHORT,
+        CallKind.WRITE_ERROR,
+        CallKind.WRITE_SHORT,
+        CallKind.SOCKET_OPTION,
+        CallKind.SHUTDOWN));
+  }
+
+  @Test
+  void requestsAreAnsweredWhileInterestInEventsCannotBeRegistered() throws Exception {
+    plays(SoakPlan.calls(seed(), PER_MILLE, CallKind.EPOLL_CTL, CallKind.EPOLL_WAIT));
+  }
+
+  @Test
+  void requestsAreAnsweredWhileConnectingFails() throws Exception {
+    plays(SoakPlan.calls(
+            seed(),
+            PER_MILLE,
+            CallKind.SOCKET,
+            CallKind.CONNECT,
+            CallKind.SOCKET_ERROR,
+            CallKind.POLL,
+            CallKind.CONNECTION_ERROR)
+        .with(Disturbance.RESETS));
+  }
+}
