The log is written by a thread of its own: a reader that stands still holds up nobody

Cause: Log.line wrote to standard error on the event loop (Log.java:66); a pipe that nobody reads blocks it, and with it every request.

--- a/src/main/java/pumicekeel/runtime/Log.java
+++ b/src/main/java/pumicekeel/runtime/Log.java
@@ -43,12 +43,18 @@
     }
   }
 
+  /** Waits until what was logged so far is written, so many milliseconds at most; before the process ends. */
+  public static void flush(long mostMillis) {
+    LogWriter.SYSTEM.flush(mostMillis);
+  }
+
+  /** A line of the log; never waits for its reader. */
   public static void line(String text) {
     Consumer<String> reader = TO.get();
     if (reader != null) {
       reader.accept(text);
       return;
     }
-    System.err.println(text.replace('\n', ' ').replace('\r', ' '));
+    LogWriter.SYSTEM.line(text.replace('\n', ' ').replace('\r', ' '));
   }
 }
