--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -38,9 +38,13 @@
 import pumicekeel.call.ClientRequest;
 import pumicekeel.call.Flow;
 import pumicekeel.discovery.HostList;
+import pumicekeel.guard.Denial;
+import pumicekeel.guard.SendQuestion;
+import pumicekeel.guard.ServingGuard;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
+import pumicekeel.runtime.Reactor;
 import pumicekeel.upstream.UpstreamAttempt;
 import pumicekeel.upstream.UpstreamLinks;
 import pumicekeel.upstream.UpstreamTable;
@@ -68,6 +72,7 @@
   private final Balancer module;
   private final Clock clock;
   private final EventLoop loop;
+  private final ServingGuard guard;
   private final LoopLag lag;
   private final Consumer<RuntimeException> defect;
   private final Map<String, OpenRequest> table = new HashMap<>();
@@ -82,15 +87,15 @@
   public BalancerCore(
       Settings settings,
       Balancer module,
-      Clock clock,
-      EventLoop loop,
+      Reactor on,
       LoopLag lag,
       UpstreamLinks links,
       Consumer<RuntimeException> defect) {
     activeSettings = new ActiveSettings(settings);
     this.module = module;
-    this.clock = clock;
-    this.loop = loop;
+    clock = on.clock();
+    loop = on.loop();
+    guard = on.guard();
     this.lag = lag;
     upstreams = new UpstreamTable(links);
     this.defect = defect;
@@ -150,7 +155,8 @@
     if (table.putIfAbsent(request.id(), r) != null) {
       return false;
     }
-    boolean coming = request.upload() != null && !request.upload().isWhole();
+    r.clientUntil = now + request.leftNanos();
+    boolean coming = r.coming();
     if (coming) {
       // Its time counts from its last byte; until then the front ends what does not come.
       r.deadline = Math.min(now + LONGEST_UPLOAD_NANOS, endsAt);
@@ -192,6 +198,7 @@
     long now = clock.now();
     long left = Math.max(0, Math.min(timeFor(r.request), endsAt - now));
     r.deadline = now + left;
+    r.clientUntil = now + r.request.leftNanos();
     r.guard = loop.schedule(() -> answerForModule(r), left + GUARD_NANOS, TimeUnit.NANOSECONDS);
     r.attempts.stream().filter(UpstreamAttempt::out).forEach(a -> a.bodyCame(left, loop));
     tell(new RequestCame(r.request.id(), r.deadline));
@@ -353,8 +360,13 @@
     if (untouched) {
       table.remove(a.id(), r);
     }
-    if (!untouched || !r.client.handOver(r.deadline - clock.now())) {
+    if (untouched && r.client.handOver(r.deadline - clock.now())) {
+      return;
+    }
+    if (guard.mayRefuse(a.id(), r.mayRefuse())) {
       r.client.refused(a.retryAfterNanos());
+    } else {
+      r.client.failed();
     }
   }
 
@@ -412,15 +424,30 @@
     attempt.start(
         r.request,
         a.timeoutNanos() == 0 ? left : Math.min(a.timeoutNanos(), left),
-        () -> counts && maySend(r, upstream),
+        () -> maySend(r, attempt, upstream, counts),
         clock,
         loop);
   }
 
-  private boolean maySend(OpenRequest r, UpstreamTable.Entry upstream) {
+  private boolean maySend(
+      OpenRequest r, UpstreamAttempt attempt, UpstreamTable.Entry upstream, boolean counts) {
+    long now = clock.now();
     // None to one that is known to leave: its grace began when it was told, which may be long
     // before the list came here.
-    return !r.ended && !upstream.leaves() && r.repeatIsHarmless(clock.now()) && r.client.here();
+    Denial denial = guard.denies(new SendQuestion(
+        r.request.id(),
+        r.ended,
+        r.ended || r.client.here(),
+        upstream.leaves(),
+        r.repeatIsHarmless(now),
+        counts,
+        r.coming() ? Long.MAX_VALUE : r.clientUntil - now,
+        attempt.leftNanos()));
+    if (denial != null) {
+      Log.caused(
+          "request " + r.request.id() + ": attempt " + attempt.number + " not sent, " + denial);
+    }
+    return denial == null;
   }
 
   private void cancel(Cancel a) {
--- a/src/main/java/pumicekeel/core/OpenRequest.java
+++ b/src/main/java/pumicekeel/core/OpenRequest.java
@@ -18,6 +18,9 @@
   /** When the module has to have answered, by the balancer's clock. */
   public long deadline;
 
+  /** When its client's own time is up; of one whose body still comes, as if that had come by now. */
+  public long clientUntil;
+
   public final List<UpstreamAttempt> attempts = new ArrayList<>(1);
   public ScheduledFuture<?> guard;
   public boolean ended;
@@ -50,6 +53,11 @@
     return ended && attempts.stream().noneMatch(UpstreamAttempt::out);
   }
 
+  /** Its body still comes: its time has not begun. */
+  public boolean coming() {
+    return request.upload() != null && !request.upload().isWhole();
+  }
+
   public boolean mayHaveRun() {
     return !earlier.isEmpty() || attempts.stream().anyMatch(UpstreamAttempt::mayHaveRun);
   }
--- a/src/main/java/pumicekeel/front/admin/AdminEndpoint.java
+++ b/src/main/java/pumicekeel/front/admin/AdminEndpoint.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.net.UnixDomainSocketAddress;
@@ -16,6 +15,7 @@
 import java.util.Set;
 import java.util.function.UnaryOperator;
 import pumicekeel.front.AcceptFaults;
+import pumicekeel.runtime.Reactor;
 
 /**
  * The admin endpoint: a listener of its own that takes one call a connection. It opens before anything else of the process,
@@ -27,15 +27,19 @@
   static final int MOST = 32;
 
   private static final int BACKLOG = 128;
+  /** After a failed accept: long enough for descriptors to come back, short for an operator. */
+  private static final long ACCEPT_REST_NANOS = 50_000_000L;
 
+  private final Reactor on;
   private final EventLoop loop;
   private final UnaryOperator<String> calls;
   private final Set<Channel> open = new LinkedHashSet<>();
   private Channel listener;
 
   /** {@code calls} answers a line with a line, on the loop. */
-  public AdminEndpoint(EventLoop loop, UnaryOperator<String> calls) {
-    this.loop = loop;
+  public AdminEndpoint(Reactor on, UnaryOperator<String> calls) {
+    this.on = on;
+    loop = on.loop();
     this.calls = calls;
   }
 
@@ -43,7 +47,8 @@
   public SocketAddress listen(SocketAddress at) throws IOException, InterruptedException {
     ServerBootstrap bootstrap = new ServerBootstrap()
         .group(loop, loop)
-        .handler(new AcceptFaults(() -> {}, () -> listener.config().setAutoRead(true)))
+        .handler(new AcceptFaults(
+            "admin", scope -> ACCEPT_REST_NANOS, () -> listener.config().setAutoRead(true)))
         .option(ChannelOption.SO_BACKLOG, BACKLOG);
     if (at instanceof UnixDomainSocketAddress path) {
       // Left by a process that was killed.
@@ -51,9 +56,8 @@
       bootstrap.channel(NioServerDomainSocketChannel.class);
     } else {
       bootstrap
-          .channel(NioServerSocketChannel.class)
+          .channelFactory(on.sockets()::listening)
           .option(ChannelOption.SO_REUSEADDR, true)
-          .childOption(ChannelOption.TCP_NODELAY, true)
           .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
     }
     listener = bootstrap
--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -26,6 +26,7 @@
 import pumicekeel.call.Flow;
 import pumicekeel.call.Upload;
 import pumicekeel.core.RequestHandle;
+import pumicekeel.guard.CloseReason;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.Sockets;
 
@@ -39,6 +40,8 @@
   private static final long PENALTY_MILLIS = 500;
   /** What is read so shortly after a rest has waited for its end. */
   private static final long JUST_RESTED_NANOS = 20_000_000L;
+  /** What is read so shortly after the accept, beside the loop's own lag, may have stood in the socket before it. */
+  private static final long JUST_OPENED_NANOS = 60_000_000L;
   /** What is dropped at a time behind a request that waits, to see its client leave; then reading rests for so long. A flood
    * of a megabyte is through within 0.2 s, and no client's takes more than a hundredth of the loop's time. */
   private static final int MOST_DROPPED = 64 << 10;
@@ -173,7 +176,7 @@
   /** Ends a request that does not come to its end. */
   public void expire() {
     if (phase == Phase.SKIPPING) {
-      close();
+      close(CloseReason.TOO_SLOW);
       return;
     }
     if (taken != null && upload != null) {
@@ -182,8 +185,10 @@
     reject(408, "the request took too long");
   }
 
-  public void abort() {
-    ctx.close();
+  void abort(CloseReason reason) {
+    if (side.guard().mayClose(reason, taken)) {
+      ctx.close();
+    }
   }
 
   /** Ends a connection that owes no answer. A request that has come in part is refused: its rest may be in the socket, and its client waits. */
@@ -192,12 +197,15 @@
       restDue = true;
       reject(503, "nothing more is taken here");
     } else {
-      close();
+      close(CloseReason.STOPPING);
     }
   }
 
   /** Closes once all that was written has gone out: an answer must not be cut short. */
-  public void close() {
+  public void close(CloseReason reason) {
+    if (!side.guard().mayClose(reason, taken)) {
+      return;
+    }
     // Chosen once: an idle connection whose close is under way makes no more room.
     end();
     ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -218,10 +226,7 @@
       times.bytesCame(now());
       if (phase == Phase.IDLE) {
         become(Phase.COMING);
-        if (restedAt != 0 && now() - restedAt < JUST_RESTED_NANOS) {
-          waited = restedAt - restSince;
-        }
-        restedAt = 0;
+        noteWaiting();
       }
       return true;
     }
@@ -229,6 +234,17 @@
     return false;
   }
 
+  /** What comes first, on a new connection or after a rest, may have waited all the while before it could be read. */
+  private void noteWaiting() {
+    if (times.neverAnswered()) {
+      long since = times.idleFor(now());
+      waited = since < JUST_OPENED_NANOS + side.behindNanos() ? waited + since : 0;
+    } else if (restedAt != 0 && now() - restedAt < JUST_RESTED_NANOS) {
+      waited = restedAt - restSince;
+    }
+    restedAt = 0;
+  }
+
   /** So many bytes came behind a request that still waits: it is the last one of its connection. */
   private void dropped(int bytes) {
     ends = true;
@@ -478,13 +494,13 @@
       upload = null;
       times.skippedAll();
       if (lastAnswer) {
-        close();
+        close(CloseReason.LAST_ANSWER);
       } else if (penalty) {
         // Only now: what is not read could not be dropped.
         pause();
       }
     } else if (times.skipped() > (upload == null ? Answer.MAX_BODY : Answer.MOST_BODY)) {
-      close();
+      close(CloseReason.SKIPPED_TOO_MUCH);
     }
   }
 
@@ -552,7 +568,7 @@
       return read < most ? Unread.NONE : Unread.MORE;
     }
     leave();
-    ctx.close();
+    abort(CloseReason.CLIENT_LEFT);
     return Unread.END;
   }
 
@@ -571,6 +587,9 @@
 
   @Override
   public void served(Answer whole) {
+    if (!side.guard().mayAnswer(taken)) {
+      return;
+    }
     // A definite answer of the application's own, which the platform has no status for: 4xx, as the
     // request is at fault.
     write(whole.error() ? 422 : 200, whole.body(), whole.contentType(), 0);
@@ -578,11 +597,17 @@
 
   @Override
   public void refused(long retryAfterNanos) {
+    if (!side.guard().mayAnswer(taken)) {
+      return;
+    }
     write(429, new byte[0], null, retryAfterNanos);
   }
 
   @Override
   public void failed() {
+    if (!side.guard().mayAnswer(taken)) {
+      return;
+    }
     write(502, new byte[0], null, 0);
   }
 
@@ -623,7 +648,7 @@
       become(Phase.ENDING);
       dropBody();
       leaveLane();
-      ctx.close();
+      abort(CloseReason.ANSWER_CUT);
     }
   }
 
@@ -656,11 +681,12 @@
   private void part() {
     boolean quiet = !restDue && dropped == 0 && side.drop(ctx.channel(), MOST_DROPPED) <= 0;
     if (quiet || !(ctx.channel() instanceof DuplexChannel both)) {
-      ctx.close();
+      abort(CloseReason.LAST_ANSWER);
       return;
     }
     both.shutdownOutput();
-    parting = ctx.executor().schedule(() -> ctx.close(), PARTING_MILLIS, TimeUnit.MILLISECONDS);
+    parting = ctx.executor()
+        .schedule(() -> abort(CloseReason.LAST_ANSWER), PARTING_MILLIS, TimeUnit.MILLISECONDS);
     deaf = false;
     read();
   }
@@ -694,9 +720,16 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      Log.caused("client " + context.channel().remoteAddress() + ": " + cause);
+    if (cause instanceof IOException) {
+      abort(CloseReason.BROKEN);
+      return;
+    }
+    // A defect of this connection's handling is no reason to leave what was taken unanswered.
+    Log.caused("client " + context.channel().remoteAddress() + ", request " + taken + ": " + cause);
+    if (taken == null && phase != Phase.COMING && phase != Phase.IDLE) {
+      abort(CloseReason.DEFECT);
+    } else {
+      reject(500, "internal error");
     }
-    context.close();
   }
 }
--- a/src/main/java/pumicekeel/front/http/ClientLimits.java
+++ b/src/main/java/pumicekeel/front/http/ClientLimits.java
@@ -3,7 +3,8 @@
 import io.netty.channel.EventLoop;
 import java.util.Comparator;
 import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
+import pumicekeel.guard.CloseReason;
+import pumicekeel.runtime.Repeated;
 
 /**
  * Time limits on client connections: without them those that say nothing, or never come to a request's end, stay for
@@ -50,8 +51,7 @@
   }
 
   public void start() {
-    looks =
-        loop.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    looks = Repeated.every(LOOK_MILLIS, loop, this::look);
   }
 
   private void look() {
@@ -60,14 +60,15 @@
       return;
     }
     long now = side.clock().now();
+    side.look(now);
     for (ClientHandler c : side.connections()) {
       if (c.stuckFor(now) > STUCK_NANOS
           || c.skippingFor(now) > (c.uploads() ? PIECE_NANOS : SKIP_NANOS)) {
-        c.abort();
+        c.abort(c.skippingFor(now) > 0 ? CloseReason.SKIPPED_TOO_MUCH : CloseReason.STUCK);
       } else if (c.late(now) || full() && c.neverAsked() && c.comingFor(now) > SILENT_NANOS) {
         c.expire();
       } else if (c.idle() && c.idleFor(now) > longestIdle(c)) {
-        c.close();
+        c.close(CloseReason.IDLE);
       }
     }
     if (full()) {
@@ -75,7 +76,7 @@
       side.connections().stream()
           .filter(c -> c.idle() && !c.neverAsked())
           .max(Comparator.comparingLong(c -> c.idleFor(now)))
-          .ifPresent(ClientHandler::close);
+          .ifPresent(c -> c.close(CloseReason.GIVES_WAY));
     }
   }
 
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -15,9 +15,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import pumicekeel.core.RequestRouter;
+import pumicekeel.front.AcceptControl;
 import pumicekeel.front.AcceptFaults;
 import pumicekeel.front.Front;
+import pumicekeel.guard.CloseReason;
+import pumicekeel.guard.ServingGuard;
 import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.FailureScope;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
 import pumicekeel.runtime.NioSockets;
@@ -41,14 +45,10 @@
   private static final long JUST_NANOS = 60_000_000L;
   /** One that came so lately has its first request on the way: the front's question whether this balancer is up, too. */
   private static final long NEW_NANOS = 300_000_000L;
-  /** Once it accepts again, the line that stood is through after so long. */
-  private static final long LINE_NANOS = 5_000_000L;
   /** Beyond its limit by that part, at the end only: less than what the process keeps for itself. */
   private static final int SPARE_PART = 4;
 
   private static final long LAST_CALL_NANOS = 20_000_000L;
-  /** Descriptors that clients leave to others once one could not be accepted: as many as a round of accepts takes. */
-  private static final int KEPT_ASIDE = 16;
   /** Usual clients ask at once; at the end, one that has not for so long gives way to those in line. */
   private static final long SAID_NOTHING_NANOS = 100_000_000L;
 
@@ -56,7 +56,7 @@
   private final EventLoop loop;
   private final String name;
   private final RequestRouter router;
-  private int most;
+  private final AcceptControl accepts;
   /** The connection that got its last answer longest ago comes first. */
   private final Set<ClientHandler> connections = new LinkedHashSet<>();
 
@@ -74,11 +74,6 @@
   private boolean closing;
   private final String warmUpPath;
   private final LoopLag lag;
-  /** Since when connections may have stood in the kernel's line, at the limit; 0 where none has. */
-  private long lineSince;
-
-  private long acceptsSince;
-
   /** The listener of this name, with at most so many connections; {@code warmUpPath} is answered with 200. */
   public ClientSide(
       Reactor on, LoopLag lag, String name, RequestRouter router, int most, String warmUpPath) {
@@ -87,7 +82,7 @@
     loop = on.loop();
     this.name = name;
     this.router = router;
-    this.most = most;
+    accepts = new AcceptControl(most, ClientLimits.ROOM_NANOS);
     this.warmUpPath = warmUpPath;
   }
 
@@ -132,9 +127,8 @@
   private ServerBootstrap bootstrap() {
     return new ServerBootstrap()
         .group(loop, loop)
-        .handler(new AcceptFaults(this::makeRoom, this::acceptAgain))
+        .handler(new AcceptFaults(name, this::acceptFailed, this::acceptAgain))
         .option(ChannelOption.AUTO_READ, accepting)
-        .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(
             ChannelOption.WRITE_BUFFER_WATER_MARK,
             new WriteBufferWaterMark(UNSENT_LOW, UNSENT_HIGH))
@@ -148,7 +142,7 @@
             channel
                 .pipeline()
                 .addLast(new RequestDecoder(handler::accepts), new HttpResponseEncoder(), handler);
-            opened(handler);
+            opened(handler, on.sockets().waitedNanos(channel));
           }
         });
   }
@@ -174,6 +168,10 @@
     return name;
   }
 
+  ServingGuard guard() {
+    return on.guard();
+  }
+
   Clock clock() {
     return on.clock();
   }
@@ -188,20 +186,20 @@
   }
 
   int most() {
-    return most;
+    return accepts.limit();
   }
 
   /** Another limit on connections, for what is accepted from now on. */
   @Override
   public void resize(int connections) {
-    most = connections;
+    accepts.configure(connections);
   }
 
   /** Begins to accept, where listening began without. */
   @Override
   public void accept() {
     accepting = true;
-    listener.config().setAutoRead(true);
+    acceptAgain();
   }
 
   /** Whether this is where the balancer's own warm-up asks: nobody else knows the path.
@@ -230,29 +228,61 @@
    * whether this balancer is up, would wait in line; with none nothing is accepted until {@link ClientLimits} has
    * made room.
    */
-  private void opened(ClientHandler handler) {
+  private void opened(ClientHandler handler, long waitedNanos) {
+    long now = clock().now();
     connections.add(handler);
-    handler.waited(waitedInLine());
-    if (connections.size() >= most) {
+    accepts.accepted();
+    handler.waited(Math.max(waitedInLine(now), lag.behindNanos()) + waitedNanos);
+    if (connections.size() >= accepts.limit()) {
       connections.stream()
           .filter(c -> c != handler && c.idle() && !c.neverAsked())
           .findFirst()
-          .ifPresentOrElse(ClientHandler::close, this::pause);
+          .ifPresentOrElse(c -> c.close(CloseReason.GIVES_WAY), this::pause);
     }
   }
 
+  private long waitedInLine(long now) {
+    if (!accepts.lineInQuestion()) {
+      return 0;
+    }
+    Sockets.Backlog line = on.sockets().backlog(listener);
+    long waited = accepts.waitedNanos(now, line != Sockets.Backlog.UNKNOWN);
+    if (line == Sockets.Backlog.EMPTY) {
+      accepts.lineIsEmpty(now);
+    }
+    return waited;
+  }
+
   /**
-   * The process has no descriptor left, so the limit was too high: it falls below what is open, and those that say nothing and the
-   * longest idle ones give way until lists, upstreams and operators have room again.
+   * An accept failed; for how long nothing is accepted. Where the process has no descriptor left the longest idle connection gives way,
+   * so that lists, upstreams and operators have room again.
    */
-  private void makeRoom() {
-    most = Math.max(1, Math.min(most, connections.size() - KEPT_ASIDE));
-    Log.caused(name + " takes " + most + " connections from now on");
-    pause();
-    connections.stream()
-        .filter(c -> c.idle() && !c.neverAsked())
-        .findFirst()
-        .ifPresent(ClientHandler::close);
+  private long acceptFailed(FailureScope scope) {
+    boolean lowered = accepts.lowered();
+    long rest = accepts.failed(scope, connections.size(), clock().now());
+    if (accepts.lowered() && !lowered) {
+      Log.line(name + ": takes " + accepts.limit() + " connections for now, out of descriptors");
+    }
+    if (scope == FailureScope.PROCESS) {
+      connections.stream()
+          .filter(c -> c.idle() && !c.neverAsked())
+          .findFirst()
+          .ifPresent(c -> c.close(CloseReason.GIVES_WAY));
+    }
+    return rest;
+  }
+
+  /** The regular look: what rests or was lowered comes back by this, whatever else happens or does not. */
+  void look(long now) {
+    if (accepts.lineInQuestion()
+        && listener.isOpen()
+        && on.sockets().backlog(listener) == Sockets.Backlog.EMPTY) {
+      accepts.lineIsEmpty(now);
+    }
+    if (accepts.rise(connections.size(), now)) {
+      Log.line(name + ": takes " + accepts.limit() + " connections again");
+    }
+    acceptAgain();
   }
 
   public void closed(ClientHandler handler) {
@@ -261,22 +291,18 @@
   }
 
   private void acceptAgain() {
-    if (connections.size() < most
-        && listener != null
+    long now = clock().now();
+    if (listener != null
         && listener.isOpen()
-        && (accepting || lastCall)) {
-      if (!listener.config().isAutoRead()) {
-        acceptsSince = clock().now();
-      }
+        && (accepting || lastCall)
+        && accepts.mayAccept(connections.size(), now)) {
+      accepts.accepts(now);
       listener.config().setAutoRead(true);
     }
   }
 
   private void pause() {
-    long now = clock().now();
-    lineSince =
-        lineSince == 0 || acceptsSince != 0 && now - acceptsSince > LINE_NANOS ? now : lineSince;
-    acceptsSince = 0;
+    accepts.reached(clock().now());
     listener.config().setAutoRead(false);
   }
 
@@ -285,15 +311,6 @@
     return lag.behindNanos();
   }
 
-  /** How long one that is accepted now may have stood in line unseen, at most; its client's time ran meanwhile. */
-  private long waitedInLine() {
-    long now = clock().now();
-    if (lineSince != 0 && acceptsSince != 0 && now - acceptsSince > LINE_NANOS) {
-      lineSince = 0;
-    }
-    return lineSince == 0 ? 0 : Math.min(now - lineSince, ClientLimits.ROOM_NANOS);
-  }
-
   public void becameIdle(ClientHandler handler) {
     if (connections.remove(handler)) {
       connections.add(handler);
@@ -330,7 +347,7 @@
     long now = clock().now();
     List.copyOf(connections).stream()
         .filter(c -> c.idle() && c.idleFor(now) > JUST_NANOS)
-        .forEach(ClientHandler::close);
+        .forEach(c -> c.close(CloseReason.STOPPING));
   }
 
   /** Accepts no more. Java takes a closed descriptor 0 for the end of the log, too, so an adopted socket stays open. */
@@ -339,32 +356,37 @@
     accepting = false;
     if (adopted) {
       listener.config().setAutoRead(false);
-    } else if (lineSince != 0 && acceptsSince == 0) {
+    } else if (accepts.lineStands()) {
       // At the limit: those that stand in the kernel's line would be reset with it, and their
       // machine has them for accepted.
       lastCall();
     } else {
-      on.sockets()
-          .closeBehindLine(listener, Math.max(0, most + most / SPARE_PART - connections.size()));
+      closeBehindLine();
     }
   }
 
+  private void closeBehindLine() {
+    int most = accepts.limit();
+    on.sockets()
+        .closeBehindLine(listener, Math.max(0, most + most / SPARE_PART - connections.size()));
+  }
+
   /** Lets in those that stand in line, in the room that is spare and that of those which have asked nothing for a while. */
   private void lastCall() {
     lastCall = true;
-    most += Math.max(1, most / SPARE_PART);
+    accepts.spare(Math.max(1, accepts.limit() / SPARE_PART));
     long now = clock().now();
     List.copyOf(connections).stream()
         .filter(c -> c.neverAsked() && c.idleFor(now) > SAID_NOTHING_NANOS)
         .forEach(c -> {
           if (c.idle()) {
-            c.close();
+            c.close(CloseReason.GIVES_WAY);
           } else {
             c.expire();
           }
         });
     listener.config().setAutoRead(true);
-    loop.schedule(() -> listener.close(), LAST_CALL_NANOS, TimeUnit.NANOSECONDS);
+    loop.schedule(this::closeBehindLine, LAST_CALL_NANOS, TimeUnit.NANOSECONDS);
   }
 
   /** Takes no more, also of what has come in part: a slow sender must not keep the process from its end. */
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
@@ -12,12 +12,15 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import pumicekeel.core.RequestRouter;
+import pumicekeel.front.AcceptControl;
 import pumicekeel.front.AcceptFaults;
 import pumicekeel.front.Front;
 import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.FailureScope;
+import pumicekeel.runtime.Log;
 import pumicekeel.runtime.Reactor;
+import pumicekeel.runtime.Repeated;
 
 /** A listener for JSON-RPC over TCP: its connections, their time limits, and its end. */
 public final class RpcSide implements Front {
@@ -44,11 +47,12 @@
   private final RequestRouter router;
   private final RequestIds ids;
   private CallSettings settings;
-  private int most;
+  private final AcceptControl accepts;
   private final Set<RpcClient> connections = new LinkedHashSet<>();
   private Channel listener;
   private InetSocketAddress address;
   private Future<?> looks;
+  private boolean accepting;
   private boolean draining;
 
   /** The listener of this name, with at most so many connections. */
@@ -63,7 +67,7 @@
     loop = on.loop();
     this.name = name;
     this.router = router;
-    this.most = most;
+    accepts = new AcceptControl(most, 0);
     this.settings = settings;
     this.ids = ids;
   }
@@ -74,11 +78,10 @@
     listener = new ServerBootstrap()
         .group(loop, loop)
         .channelFactory(on.sockets()::listening)
-        .handler(new AcceptFaults(this::makeRoom, this::acceptAgain))
+        .handler(new AcceptFaults(name, this::acceptFailed, this::acceptAgain))
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.AUTO_READ, accepting)
-        .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .childOption(
             ChannelOption.WRITE_BUFFER_WATER_MARK,
@@ -98,14 +101,15 @@
         .sync()
         .channel();
     address = (InetSocketAddress) listener.localAddress();
-    loop.execute(() -> looks =
-        loop.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS));
+    this.accepting = accepting;
+    loop.execute(() -> looks = Repeated.every(LOOK_MILLIS, loop, this::look));
     return address;
   }
 
   @Override
   public void accept() {
-    listener.config().setAutoRead(true);
+    accepting = true;
+    acceptAgain();
   }
 
   @Override
@@ -150,24 +154,34 @@
 
   @Override
   public void resize(int connectionsAtMost) {
-    most = connectionsAtMost;
+    accepts.configure(connectionsAtMost);
   }
 
   private void opened(RpcClient client) {
     connections.add(client);
-    if (connections.size() >= most) {
+    accepts.accepted();
+    if (connections.size() >= accepts.limit()) {
       long now = clock().now();
       connections.stream()
           .filter(c -> c != client && c.mayGiveWay(now))
           .findFirst()
-          .ifPresentOrElse(RpcClient::finish, () -> listener.config().setAutoRead(false));
+          .ifPresentOrElse(RpcClient::finish, this::pause);
     }
   }
 
-  /** The process has no descriptor left: the longest idle connection gives way, as at the limit. */
-  private void makeRoom() {
+  private void pause() {
+    accepts.reached(clock().now());
+    listener.config().setAutoRead(false);
+  }
+
+  /** Where the process has no descriptor left the longest idle connection gives way, as at the limit. */
+  private long acceptFailed(FailureScope scope) {
     long now = clock().now();
-    connections.stream().filter(c -> c.mayGiveWay(now)).findFirst().ifPresent(RpcClient::finish);
+    long rest = accepts.failed(scope, connections.size(), now);
+    if (scope == FailureScope.PROCESS) {
+      connections.stream().filter(c -> c.mayGiveWay(now)).findFirst().ifPresent(RpcClient::finish);
+    }
+    return rest;
   }
 
   void closed(RpcClient client) {
@@ -176,7 +190,12 @@
   }
 
   private void acceptAgain() {
-    if (connections.size() < most && listener != null && listener.isOpen()) {
+    long now = clock().now();
+    if (accepting
+        && listener != null
+        && listener.isOpen()
+        && accepts.mayAccept(connections.size(), now)) {
+      accepts.accepts(now);
       listener.config().setAutoRead(true);
     }
   }
@@ -194,8 +213,12 @@
       return;
     }
     long now = clock().now();
+    if (accepts.rise(connections.size(), now)) {
+      Log.line(name + ": takes " + accepts.limit() + " connections again");
+    }
+    acceptAgain();
     List.copyOf(connections).forEach(c -> c.look(now));
-    if (connections.size() >= most) {
+    if (connections.size() >= accepts.limit()) {
       connections.stream().filter(c -> c.mayGiveWay(now)).findFirst().ifPresent(RpcClient::finish);
     }
   }
@@ -224,7 +247,8 @@
 
   @Override
   public void stopListening() {
-    listener.close();
+    accepting = false;
+    on.sockets().closeBehindLine(listener, Math.max(0, accepts.limit() - connections.size()));
   }
 
   @Override
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -29,7 +29,9 @@
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
+import pumicekeel.runtime.Persistent;
 import pumicekeel.runtime.Reactor;
+import sun.misc.Signal;
 
 /** One real balancer: the module on sockets, all of it on one event-loop thread. */
 public final class Node {
@@ -43,6 +45,10 @@
   private static final long LONGEST_DEADLINE_MILLIS = 3_000;
   private static final long LAST_MILLIS = 1_000;
   private static final long POLL_MILLIS = 10;
+  /** For so long what fails for a moment is tried again at the start; a platform waits 30 s for a process. */
+  private static final long START_MILLIS = 15_000;
+  /** The log's last lines are waited for so long. */
+  private static final long LAST_LINES_MILLIS = 100;
   /** Connections of the warm-up to the balancer itself, where it can't use the clients' socket. */
   private static final int WARM_UP_SOCKETS = 64;
   /** The period of the looks at clients that are sent away. */
@@ -98,9 +104,9 @@
         operator == null ? null : new Services(configuration, operator, on, lag, this::defect);
     serving = services == null ? new OnePool(configuration, on, lag, this::defect) : services;
     firstGeneration = operator;
-    OperatorCalls calls =
-        new OperatorCalls(rotation, this::rotate, () -> peers == null ? null : peers.view());
-    admin = new AdminEndpoint(loop, line -> calls.answer(line, on.clock().now()));
+    OperatorCalls calls = new OperatorCalls(
+        rotation, this::rotate, () -> peers == null ? null : peers.view(), on.guard()::line);
+    admin = new AdminEndpoint(on, line -> calls.answer(line, on.clock().now()));
     listeners = new Listeners(
         on,
         lag,
@@ -112,24 +118,32 @@
 
   /**
    * Runs a balancer until SIGTERM; the exit status, 2 for a configuration, an operator file or an address that is no
-   * good. The operator file is null where there is none.
+   * good. The operator file is null where there is none. What fails for a moment while it starts is tried again for a while.
    */
   public static int serve(Map<String, String> environment, Path operatorFile, PrintStream err)
       throws InterruptedException {
+    Reload.noteEarlyHangup();
     Node node;
     try {
-      Configuration configuration = Configuration.read(environment);
-      Operator operator = operatorFile == null ? null : OperatorLoader.load(operatorFile);
+      Configuration configuration =
+          Persistent.call("configuration", START_MILLIS, () -> Configuration.read(environment));
+      Operator operator = operatorFile == null
+          ? null
+          : Persistent.call("operator file", START_MILLIS, () -> OperatorLoader.load(operatorFile));
       DeliveredConfiguration delivered = operator == null || operator.control() == null
           ? null
-          : DeliveredConfiguration.open(configuration, operator);
+          : Persistent.call(
+              "delivered configuration",
+              START_MILLIS,
+              () -> DeliveredConfiguration.open(configuration, operator));
       Operator first = delivered == null ? operator : delivered.first();
-      node = new Node(configuration, first, () -> Runtime.getRuntime().halt(1));
-      ExecutorService worker = Reload.newWorker();
+      node = Persistent.call(
+          "event loop", START_MILLIS, () -> new Node(configuration, first, () -> halt(1)));
+      ExecutorService worker = Persistent.call("reload thread", START_MILLIS, Reload::newWorker);
       Runnable operatorReading =
           operatorFile == null ? null : Reload.operatorReading(operatorFile, node, delivered);
-      Reload.onHangup(environment, operatorReading, node, worker);
       node.start();
+      Reload.onHangup(environment, operatorReading, node, worker);
       if (delivered != null) {
         delivered.follow(node, worker);
       }
@@ -141,21 +155,33 @@
           + e.getClass().getSimpleName());
       return 2;
     }
-    // A hook, since Java's own answer to SIGTERM is to end at once; halt, for its status would be
-    // 143.
-    Runtime.getRuntime()
-        .addShutdownHook(new Thread(
-            () -> {
-              node.drain();
-              node.awaitDrained();
-              node.closeJournal();
-              Runtime.getRuntime().halt(0);
-            },
-            "drain"));
+    node.endAtSignals();
     node.awaitDrained();
+    node.closeJournal();
+    halt(0);
     return 0;
   }
 
+  /**
+   * Drains at SIGTERM and SIGINT. By handlers of its own: Java's answer is a hook on a thread that has to be started then, and where the
+   * system has none to give the process would end at once, with all that is open.
+   */
+  private void endAtSignals() {
+    for (String name : List.of("TERM", "INT")) {
+      Signal.handle(new Signal(name), signal -> drain());
+    }
+    // A loop that has ended serves nobody any more; the platform starts another process.
+    loop.terminationFuture().addListener(ended -> {
+      Log.line("the event loop has ended");
+      halt(1);
+    });
+  }
+
+  private static void halt(int status) {
+    Log.flush(LAST_LINES_MILLIS);
+    Runtime.getRuntime().halt(status);
+  }
+
   /** Starts as {@code serve} does and ends once ready: what the class-data archive is made from. */
   public static int rehearse(Map<String, String> environment)
       throws IOException, InterruptedException {
@@ -169,20 +195,29 @@
   /** Listens and follows the list; the address that clients connect to. */
   public InetSocketAddress start() throws IOException, InterruptedException {
     if (configuration.admin() != null) {
-      adminAddress = admin.listen(configuration.admin());
+      adminAddress = Persistent.call(
+          "admin listener", START_MILLIS, () -> admin.listen(configuration.admin()));
     }
-    openJournal();
-    openPeers();
-    Map<String, Front> bound = firstGeneration == null ? Map.of() : listeners.bind(firstGeneration);
+    Persistent.call("journal", START_MILLIS, this::openJournal);
+    Persistent.call("peers", START_MILLIS, this::openPeers);
+    Map<String, Front> bound = firstGeneration == null
+        ? Map.of()
+        : Persistent.call("listeners", START_MILLIS, () -> listeners.bind(firstGeneration));
     ClientSide own = configuration.inherited()
         ? new ClientSide(on, lag, "warm-up", serving.router(), WARM_UP_SOCKETS, warmUpPath)
         : null;
     InetSocketAddress address = own == null
-        ? listeners.platform().listen(configuration.listen())
-        : listeners.platform().adopt(inheritedSocket());
+        ? Persistent.call(
+            "listener", START_MILLIS, () -> listeners.platform().listen(configuration.listen()))
+        : Persistent.call(
+            "listener", START_MILLIS, () -> listeners.platform().adopt(inheritedSocket()));
     // What is asked of a socket that others hold too may be answered by them.
-    InetSocketAddress self =
-        own == null ? address : own.listen(new InetSocketAddress(address.getAddress(), 0));
+    InetSocketAddress self = own == null
+        ? address
+        : Persistent.call(
+            "warm-up listener",
+            START_MILLIS,
+            () -> own.listen(new InetSocketAddress(address.getAddress(), 0)));
     loop.execute(() -> {
       serving.start();
       if (services != null) {
@@ -219,10 +254,10 @@
   }
 
   /** Before anything is served: what may have run under the process before this one has to be known. */
-  private void openJournal() throws IOException, InterruptedException {
+  private Void openJournal() throws IOException, InterruptedException {
     Operator.Journal spec = firstGeneration == null ? null : firstGeneration.journal();
     if (spec == null) {
-      return;
+      return null;
     }
     journal = Journal.open(
         spec.directory(),
@@ -242,9 +277,10 @@
     journal.unreadable().forEach(what -> Log.line("journal: could not be read: " + what));
     JournalLog log = new JournalLog(loop, clock, journal.writer(), memory, spec.maxWaitNanos());
     loop.submit(() -> services.journal(log)).syncUninterruptibly();
+    return null;
   }
 
-  private void openPeers() throws InterruptedException {
+  private Void openPeers() throws InterruptedException {
     List<InetSocketAddress> all =
         firstGeneration == null ? List.of() : firstGeneration.peers().addresses();
     if (!all.isEmpty()) {
@@ -261,6 +297,7 @@
             .syncUninterruptibly();
       }
     }
+    return null;
   }
 
   /** Writes what waits for the journal; the process may end after it. */
--- a/src/main/java/pumicekeel/node/OnePool.java
+++ b/src/main/java/pumicekeel/node/OnePool.java
@@ -33,8 +33,7 @@
     core = new BalancerCore(
         settings,
         new AdaptiveBalancer(settings, configuration.seed()),
-        on.clock(),
-        on.loop(),
+        on,
         lag,
         connections,
         defect);
--- a/src/main/java/pumicekeel/node/Reload.java
+++ b/src/main/java/pumicekeel/node/Reload.java
@@ -4,11 +4,15 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import pumicekeel.config.Operator;
 import pumicekeel.config.OperatorLoader;
 import pumicekeel.delivery.ConfigurationVersion;
 import pumicekeel.runtime.Log;
+import pumicekeel.runtime.Persistent;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
@@ -17,16 +21,30 @@
 
   /** Faults of an operator file that the log shows; {@code check} shows all. */
   private static final int MOST_LINES = 10;
+  /** A file that can't be read for a moment is tried again for so long: nobody sends the signal twice. */
+  private static final long RETRY_MILLIS = 60_000;
+
+  /** A signal came before there was a node to reload. */
+  private static final AtomicBoolean CAME_EARLY = new AtomicBoolean();
 
   private Reload() {}
 
+  /** From now on SIGHUP is no end of the process, also where it comes while that starts: it is noted until there is a node. */
+  static void noteEarlyHangup() {
+    Signal.handle(new Signal("HUP"), signal -> CAME_EARLY.set(true));
+  }
+
   /** The one thread that reads and checks files and delivered configurations. */
   static ExecutorService newWorker() {
-    return Executors.newSingleThreadExecutor(work -> {
-      Thread thread = new Thread(work, "reload");
-      thread.setDaemon(true);
-      return thread;
-    });
+    ThreadPoolExecutor worker =
+        new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), work -> {
+          Thread thread = new Thread(work, "reload");
+          thread.setDaemon(true);
+          return thread;
+        });
+    // Now, while it can be tried again: at a signal the system may have no thread to give.
+    worker.prestartCoreThread();
+    return worker;
   }
 
   /**
@@ -43,17 +61,26 @@
       Node node,
       ExecutorService reader) {
     AtomicBoolean waits = new AtomicBoolean();
-    SignalHandler before = Signal.handle(new Signal("HUP"), signal -> {
+    Runnable reload = () -> {
       if (!waits.getAndSet(true)) {
         reader.execute(() -> {
           waits.set(false);
-          read(environment, node);
-          if (operatorReading != null) {
-            operatorReading.run();
+          try {
+            read(environment, node);
+            if (operatorReading != null) {
+              operatorReading.run();
+            }
+          } catch (RuntimeException e) {
+            // The thread has to outlive a defect of one reading.
+            Log.line("reload: " + e);
           }
         });
       }
-    });
+    };
+    SignalHandler before = Signal.handle(new Signal("HUP"), signal -> reload.run());
+    if (CAME_EARLY.getAndSet(false)) {
+      reload.run();
+    }
     if (before == SignalHandler.SIG_IGN) {
       // Java keeps to it: what nohup and its like start can't hear the signal.
       Log.line("reload: SIGHUP is ignored since before this process started; it will not be heard");
@@ -62,9 +89,12 @@
 
   private static void read(Map<String, String> environment, Node node) {
     try {
-      node.reload(node.configuration().reread(environment));
+      node.reload(
+          Persistent.call("reload", RETRY_MILLIS, () -> node.configuration().reread(environment)));
     } catch (IOException | RuntimeException e) {
       Log.line("reload: the configuration stays as it was: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
@@ -86,7 +116,11 @@
 
   static void readOperator(Path file, Node node) {
     try {
-      node.reload(OperatorLoader.load(file));
+      Operator next = Persistent.call("reload", RETRY_MILLIS, () -> OperatorLoader.load(file));
+      Persistent.call("reload", RETRY_MILLIS, () -> {
+        node.reload(next);
+        return next;
+      });
     } catch (OperatorLoader.Faulty e) {
       e.lines().stream().limit(MOST_LINES).forEach(l -> Log.line("reload: " + l));
       Log.line("reload: the operator file stays as it was: " + e.lines().size() + " faults");
--- a/src/main/java/pumicekeel/node/ServicePool.java
+++ b/src/main/java/pumicekeel/node/ServicePool.java
@@ -87,8 +87,7 @@
     core = new BalancerCore(
         settings,
         new AdaptiveBalancer(settings, seed),
-        shared.on().clock(),
-        shared.on().loop(),
+        shared.on(),
         shared.lag(),
         connections,
         shared.defect());
--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -100,8 +100,7 @@
     core = new BalancerCore(
         settings,
         new AdaptiveBalancer(settings, 0),
-        clock,
-        loop,
+        on,
         lag,
         pool,
         e -> Log.line("defect of the module while warming up: " + e));
--- a/src/main/java/pumicekeel/operation/OperatorCalls.java
+++ b/src/main/java/pumicekeel/operation/OperatorCalls.java
@@ -9,12 +9,15 @@
   private final Runnable changed;
 
   private final Supplier<String> view;
+  private final Supplier<String> guard;
 
   /**
    * {@code changed} is run after a call that may have changed whether clients are taken; {@code view} is what this instance holds of
-   * its fleet, null where it has none.
+   * its fleet, null where it has none; {@code guard} is what the serving guard has counted.
    */
-  public OperatorCalls(Rotation rotation, Runnable changed, Supplier<String> view) {
+  public OperatorCalls(
+      Rotation rotation, Runnable changed, Supplier<String> view, Supplier<String> guard) {
+    this.guard = guard;
     this.rotation = rotation;
     this.changed = changed;
     this.view = view;
@@ -38,7 +41,8 @@
         String seen = view.get();
         yield seen == null ? "NO peers: the operator file has none" : "YES " + seen;
       }
-      default -> "NO unknown call: expected readyz, evacuate, activate or peers";
+      case "guard" -> "YES " + guard.get();
+      default -> "NO unknown call: expected readyz, evacuate, activate, peers or guard";
     };
   }
 }
--- a/src/main/java/pumicekeel/rig/ProgramCommand.java
+++ b/src/main/java/pumicekeel/rig/ProgramCommand.java
@@ -14,6 +14,8 @@
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(flags);
+    // What the jar's manifest says by Add-Opens.
+    command.addAll(List.of("--add-opens", "java.base/sun.nio.ch=ALL-UNNAMED"));
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), "pumicekeel.cli.Main"));
     return command;
   }
--- a/src/main/java/pumicekeel/rig/soak/RequestLog.java
+++ b/src/main/java/pumicekeel/rig/soak/RequestLog.java
@@ -20,6 +20,8 @@
     ANSWERED,
     /** Client: the connection ended with no whole answer; the text is why. */
     CLOSED,
+    /** Client: its connection was closed as it was sent, and no new one comes up. */
+    UNREACHABLE,
     /** Client: it has closed its connection and waits no longer. */
     LEFT,
     /** Upstream: it came whole; the value is the time left as told in ms, the text the upstream. */
@@ -40,6 +42,7 @@
     }
   }
 
+  private final long startedAt = System.nanoTime();
   private final Map<String, ConcurrentLinkedQueue<Event>> requests = new ConcurrentHashMap<>();
 
   /** Notes what has happened now. */
@@ -70,8 +73,13 @@
     return events;
   }
 
-  /** The timeline of a request, a line each, in ms since {@code fromNanos}. */
-  public List<String> timeline(String id, long fromNanos) {
-    return of(id).stream().map(e -> e.line(fromNanos)).toList();
+  /** When it began, by System.nanoTime. */
+  public long startedAt() {
+    return startedAt;
+  }
+
+  /** The timeline of a request, a line each, in ms since the log began. */
+  public List<String> timeline(String id) {
+    return of(id).stream().map(e -> e.line(startedAt)).toList();
   }
 }
--- a/src/main/java/pumicekeel/rig/soak/SoakDisturbances.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakDisturbances.java
@@ -114,9 +114,9 @@
     while (goesOn()) {
       SoakRun.pause(500 + random.nextInt(2_000));
       for (SoakBalancer balancer : run.balancers) {
-        balancer.signal("HUP");
+        balancer.hangUp();
         SoakRun.pause(random.nextInt(40));
-        balancer.signal("HUP");
+        balancer.hangUp();
       }
     }
   }
--- a/src/main/java/pumicekeel/runtime/NioSockets.java
+++ b/src/main/java/pumicekeel/runtime/NioSockets.java
@@ -2,14 +2,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
-import java.util.List;
 
 /** TCP sockets of the system. */
 public final class NioSockets implements Sockets {
@@ -19,7 +15,7 @@
 
   @Override
   public ServerChannel listening() {
-    return new Listening();
+    return new ListeningChannel();
   }
 
   @Override
@@ -39,62 +35,47 @@
 
   @Override
   public void closeBehindLine(Channel listener, int most) {
-    ((Listening) listener).closeBehindLine(most);
+    ((ListeningChannel) listener).closeBehindLine(most);
   }
 
-  /** One that listens on a socket which others hold too. */
-  public static ServerChannel adopted(ServerSocketChannel socket) {
-    return new Listening(socket);
+  @Override
+  public long waitedNanos(Channel channel) {
+    return channel instanceof Accepted accepted ? System.nanoTime() - accepted.acceptedAt : 0;
   }
 
-  private static final class Listening extends NioServerSocketChannel {
-    private Listening() {}
-
-    private Listening(ServerSocketChannel socket) {
-      super(socket);
-    }
-
-    @Override
-    protected int doReadMessages(List<Object> into) throws IOException {
-      SocketChannel accepted = javaChannel().accept();
-      if (accepted == null) {
-        return 0;
-      }
-      into.add(new Accepted(this, accepted));
-      return 1;
-    }
+  @Override
+  public Backlog backlog(Channel listener) {
+    return ((ListeningChannel) listener).backlog();
+  }
 
-    private void closeBehindLine(int most) {
-      List<Object> line = new ArrayList<>();
-      try {
-        while (line.size() < most && doReadMessages(line) > 0) {
-          // The next one.
-        }
-      } catch (IOException e) {
-        Log.line("in line at the close: " + e);
-      }
-      line.forEach(pipeline()::fireChannelRead);
-      pipeline().fireChannelReadComplete();
-      close();
-    }
+  /** One that listens on a socket which others hold too. */
+  public static ServerChannel adopted(ServerSocketChannel socket) {
+    return new ListeningChannel(socket);
   }
 
-  private static final class Accepted extends NioSocketChannel {
-    private Accepted(Channel parent, SocketChannel socket) {
+  /** One that was accepted. */
+  static final class Accepted extends TolerantSocketChannel {
+    private final long acceptedAt;
+
+    /** A socket that was accepted at this time of System.nanoTime. */
+    Accepted(Channel parent, SocketChannel socket, long acceptedAt) {
       super(parent, socket);
+      this.acceptedAt = acceptedAt;
     }
 
     private int drop(int most) {
       ByteBuffer bytes = ByteBuffer.allocate(DROP_BYTES);
       int dropped = 0;
       try {
-        int read = isActive() ? javaChannel().read(bytes) : LEFT;
+        int read = isActive() ? readNow(bytes) : LEFT;
         while (read > 0 && dropped + read < most) {
           dropped += read;
           bytes.clear();
-          read = javaChannel().read(bytes);
+          read = readNow(bytes);
         }
         return read < 0 ? LEFT : dropped + read;
+      } catch (NotKnownException e) {
+        return most;
       } catch (IOException e) {
         return LEFT;
       }
@@ -102,10 +83,11 @@
   }
 
   /** One whose socket can be asked what the event loop has not read yet. */
-  private static final class Connecting extends NioSocketChannel {
+  private static final class Connecting extends TolerantSocketChannel {
+
     private boolean quiet() {
       try {
-        return isActive() && javaChannel().read(ByteBuffer.allocate(1)) == 0;
+        return isActive() && readNow(ByteBuffer.allocate(1)) == 0;
       } catch (IOException e) {
         return false;
       }
--- a/src/main/java/pumicekeel/runtime/Sockets.java
+++ b/src/main/java/pumicekeel/runtime/Sockets.java
@@ -32,6 +32,23 @@
    */
   int drop(Channel channel, int most);
 
+  /** What is known of the connections that wait to be accepted. */
+  enum Backlog {
+    EMPTY,
+    STANDS,
+    UNKNOWN
+  }
+
+  /** Whether connections wait to be accepted by one that {@link #listening} made. */
+  default Backlog backlog(Channel listener) {
+    return Backlog.UNKNOWN;
+  }
+
+  /** How long one that {@link #listening} accepted has waited between its accept and its first use, in nanoseconds. */
+  default long waitedNanos(Channel accepted) {
+    return 0;
+  }
+
   /** The peer has ended the connection. */
   int LEFT = -1;
 }
--- a/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
+++ b/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
@@ -67,7 +67,6 @@
     sockets.add(this);
     bootstrap = new Bootstrap()
         .group(on.loop())
-        .option(ChannelOption.TCP_NODELAY, true)
         .option(
             ChannelOption.WRITE_BUFFER_WATER_MARK,
             new WriteBufferWaterMark(UNSENT_LOW, UNSENT_HIGH))
--- a/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
+++ b/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
@@ -52,7 +52,7 @@
     connecting.addListener(done -> {
       if (!out()) {
         connecting.channel().close();
-      } else if (!done.isSuccess()) {
+      } else if (!done.isSuccess() || !connecting.channel().isActive()) {
         end(Status.CONNECT_FAILED, null);
       } else {
         write(connecting.channel().pipeline().get(UpstreamConnection.class), request, maySend);
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -49,6 +49,8 @@
   private static final long UPLOAD_STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
   /** Or for that part of the time which its client gives it: the client may have written its last byte long before. */
   private static final int UPLOAD_STALL_DIVISOR = 2;
+  /** From the first byte of a whole request to its last: well under the slack of the time that it tells. */
+  private static final long WRITE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   /** A second copy of an answer may come some milliseconds behind it, and would be taken for the answer to the next request: until
    * then there is none on this connection. Short against any aim. */
   private static final long REUSE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
@@ -114,6 +116,20 @@
   public void send(UpstreamAttempt next, FullHttpRequest request) {
     begin(next);
     written = channel.writeAndFlush(request);
+    if (!written.isDone()) {
+      ChannelFuture mine = written;
+      channel
+          .eventLoop()
+          .schedule(() -> endUnwritten(mine), WRITE_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** A request that can't be written has not begun, and the time that it tells its upstream runs on: it goes elsewhere. */
+  private void endUnwritten(ChannelFuture mine) {
+    if (written == mine && !mine.isDone()) {
+      Log.caused("upstream " + pool.address() + ": a request could not be written in time");
+      broken();
+    }
   }
 
   /** Sends a request whose body still comes; its client gives it so long from its last byte on. */
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
@@ -47,7 +47,7 @@
     this.settings = settings;
     share = sockets.shares().add(0, 0);
     sockets.add(this);
-    bootstrap = new Bootstrap().group(on.loop()).option(ChannelOption.TCP_NODELAY, true);
+    bootstrap = new Bootstrap().group(on.loop());
     tune(connectTimeoutNanos, idleNanos);
   }
 
--- /dev/null
+++ b/src/test/java/pumicekeel/front/AcceptControlTest.java
@@ -0,0 +1,111 @@
+package pumicekeel.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import pumicekeel.runtime.FailureScope;
+
+/** The limit on a listener's connections and its pauses, in virtual time. */
+class AcceptControlTest {
+
+  private static final long MS = 1_000_000L;
+  private static final int LIMIT = 200;
+
+  private final AcceptControl control = new AcceptControl(LIMIT, 300 * MS);
+  private long now = 1_000 * MS;
+
+  @Test
+  void whatFailsForAMomentOrForOneConnectionLowersNoLimit() {
+    for (int i = 0; i < 1_000; i++) {
+      control.failed(i % 2 == 0 ? FailureScope.NOT_NOW : FailureScope.CONNECTION, 100, now);
+      now += MS;
+    }
+    assertEquals(LIMIT, control.limit());
+  }
+
+  @Test
+  void oneConnectionsFailureIsNoPauseAndAMomentsIsAShortOneThatGrows() {
+    assertEquals(0, control.failed(FailureScope.CONNECTION, 10, now));
+    control.accepted();
+    long first = control.failed(FailureScope.NOT_NOW, 10, now);
+    assertTrue(first > 0 && first <= 5 * MS, "rests " + first);
+    assertFalse(control.mayAccept(10, now));
+    assertTrue(control.mayAccept(10, now + first));
+    long longest = first;
+    for (int i = 0; i < 60; i++) {
+      longest = control.failed(FailureScope.NOT_NOW, 10, now);
+    }
+    assertEquals(50 * MS, longest);
+    control.accepted();
+    assertEquals(first, control.failed(FailureScope.NOT_NOW, 10, now));
+  }
+
+  private void shortage(int open) {
+    for (int i = 0; i < 40 && !control.lowered(); i++) {
+      control.failed(FailureScope.PROCESS, open, now);
+      now += 10 * MS;
+    }
+  }
+
+  @Test
+  void aLimitThatAShortageLoweredRisesByItself() {
+    shortage(100);
+    assertEquals(84, control.limit(), "16 are left to others");
+    assertFalse(control.rise(84, now), "not at once");
+    long lowered = now;
+    while (control.lowered()) {
+      now += 10 * MS;
+      control.rise(84, now);
+    }
+    assertEquals(LIMIT, control.limit());
+    assertTrue(now - lowered < 2_000 * MS, "after " + (now - lowered) / MS + " ms");
+  }
+
+  @Test
+  void aSingleFailureOutOfDescriptorsIsNoShortage() {
+    control.failed(FailureScope.PROCESS, 100, now);
+    control.failed(FailureScope.PROCESS, 100, now);
+    control.accepted();
+    control.failed(FailureScope.PROCESS, 100, now + 100 * MS);
+    assertFalse(control.lowered());
+  }
+
+  @Test
+  void shortagesThatComeAgainAreLookedAtMoreSeldomButNeverForGood() {
+    long rises = 0;
+    for (int i = 0; i < 12; i++) {
+      shortage(100);
+      long from = now;
+      while (control.lowered()) {
+        now += 10 * MS;
+        control.rise(100, now);
+      }
+      rises = now - from;
+    }
+    assertTrue(rises >= 1_000 * MS && rises < 8_000 * MS, "rose within " + rises / MS + " ms");
+  }
+
+  @Test
+  void whatStoodInLineIsChargedFromWhenTheLineWasLastSeenEmpty() {
+    control.reached(now);
+    now += 700 * MS;
+    control.accepts(now);
+    assertEquals(700 * MS, control.waitedNanos(now, true));
+    now += 20 * MS;
+    assertEquals(720 * MS, control.waitedNanos(now, true), "it stands still");
+    control.lineIsEmpty(now);
+    assertEquals(0, control.waitedNanos(now + MS, true));
+    assertFalse(control.lineInQuestion());
+  }
+
+  @Test
+  void aLineThatNobodyCanLookAtIsThroughAWhileAfterAcceptingGoesOn() {
+    control.reached(now);
+    now += 700 * MS;
+    control.accepts(now);
+    assertEquals(300 * MS, control.waitedNanos(now, false), "room is made within that");
+    assertEquals(0, control.waitedNanos(now + 6 * MS, false));
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/guard/NoViolations.java
@@ -0,0 +1,28 @@
+package pumicekeel.guard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.extension.AfterEachCallback;
+import org.junit.jupiter.api.extension.BeforeEachCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+
+/** Fails each test in whose time the program's guard counted a violation; registered for all tests by META-INF/services. */
+public final class NoViolations implements BeforeEachCallback, AfterEachCallback {
+
+  private long before;
+
+  @Override
+  public void beforeEach(ExtensionContext test) {
+    before = ServingGuard.violationsInProcess();
+  }
+
+  @Override
+  public void afterEach(ExtensionContext test) {
+    boolean wanted =
+        test.getTestClass().filter(c -> c == ServingGuardTest.class).isPresent();
+    assertEquals(
+        wanted ? ServingGuard.violationsInProcess() : before,
+        ServingGuard.violationsInProcess(),
+        "violations that the guard counted");
+  }
+}
--- /dev/null
+++ b/src/test/java/pumicekeel/guard/ServingGuardTest.java
@@ -0,0 +1,73 @@
+package pumicekeel.guard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What may be done now, and what is counted. */
+class ServingGuardTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private final List<String> defects = new ArrayList<>();
+  private final List<String> notes = new ArrayList<>();
+  private final ServingGuard guard = new ServingGuard(defects::add, notes::add);
+
+  private static SendQuestion question(
+      boolean ended, boolean here, boolean leaves, boolean harmless, boolean attempt, long left) {
+    return new SendQuestion("r1", ended, here, leaves, harmless, attempt, left, SECOND / 2);
+  }
+
+  @Test
+  void eachReasonDeniesASendAndIsCounted() {
+    assertNull(guard.denies(question(false, true, false, true, true, SECOND)));
+    assertEquals(
+        Denial.REQUEST_ENDED, guard.denies(question(true, true, false, true, true, SECOND)));
+    assertEquals(
+        Denial.CLIENT_LEFT, guard.denies(question(false, false, false, true, true, SECOND)));
+    assertEquals(
+        Denial.UPSTREAM_LEAVES, guard.denies(question(false, true, true, true, true, SECOND)));
+    assertEquals(
+        Denial.NOT_REPEATABLE, guard.denies(question(false, true, false, false, true, SECOND)));
+    assertEquals(
+        Denial.ATTEMPTS_SPENT, guard.denies(question(false, true, false, true, false, SECOND)));
+    assertEquals(Denial.TIME_UP, guard.denies(question(false, true, false, true, true, 0)));
+    assertEquals(0, guard.violations());
+    assertEquals(
+        "violations 0; sent 1; not sent request_ended=1 client_left=1 upstream_leaves=1"
+            + " not_repeatable=1 attempts_spent=1 time_up=1; closed",
+        guard.line());
+  }
+
+  @Test
+  void timeToldBeyondTheClientsIsAViolationAndNotSent() {
+    assertEquals(
+        Denial.TIME_UP, guard.denies(question(false, true, false, true, true, SECOND / 4)));
+    assertEquals(1, guard.violations());
+    assertEquals(List.of("rule violated: TOLD_TOO_MUCH_TIME r1"), defects);
+  }
+
+  @Test
+  void aConnectionIsNotClosedUnderARequestButByItsClientsOrItsAnswersEnd() {
+    assertTrue(guard.mayClose(CloseReason.IDLE, null));
+    assertTrue(guard.mayClose(CloseReason.CLIENT_LEFT, "r1"));
+    assertEquals(0, guard.violations());
+    assertEquals(List.of("request r1: its connection is closed, CLIENT_LEFT"), notes);
+    assertFalse(guard.mayClose(CloseReason.GIVES_WAY, "r2"));
+    assertEquals(List.of("rule violated: CLOSE_UNDER_REQUEST r2 GIVES_WAY"), defects);
+  }
+
+  @Test
+  void aRefusalThatIsNotHarmlessAndAnAnswerThatIsNotOwedAreViolations() {
+    assertTrue(guard.mayRefuse("r1", true));
+    assertTrue(guard.mayAnswer("r1"));
+    assertFalse(guard.mayRefuse("r1", false));
+    assertFalse(guard.mayAnswer(null));
+    assertEquals(2, guard.violations());
+  }
+}
