--- a/src/main/java/pumicekeel/journal/Journal.java
+++ b/src/main/java/pumicekeel/journal/Journal.java
@@ -1,12 +1,15 @@
 package pumicekeel.journal;
 
 import java.io.IOException;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 
 /** The journal of a process: opened before it serves, with what the processes before it left. */
 public final class Journal implements AutoCloseable {
@@ -33,10 +36,21 @@
     this.unreadable = unreadable;
   }
 
-  /** Locks the folder, reads its tail and begins a segment of a new epoch. Blocks. */
+  /** The same with changes of state that nobody reads. */
   public static Journal open(
       Path folder, String instance, JournalWriter.Settings settings, Executor loop)
       throws IOException {
+    return open(folder, instance, settings, loop, line -> {});
+  }
+
+  /** Locks the folder, reads its tail and begins a segment of a new epoch. Blocks. */
+  public static Journal open(
+      Path folder,
+      String instance,
+      JournalWriter.Settings settings,
+      Executor loop,
+      Consumer<String> log)
+      throws IOException {
     FolderDisk disk = new FolderDisk(folder);
     try {
       String hostBoot = hostBoot();
@@ -51,7 +65,7 @@
           settings.durability(),
           settings.refusesInTrouble());
       JournalWriter writer = new JournalWriter(
-          disk, settings, boot, nextEpoch(stored), loop, System::currentTimeMillis);
+          disk, settings, boot, nextEpoch(stored), loop, System::currentTimeMillis, log);
       writer.start();
       return new Journal(disk, writer, recovery, hostBoot, unreadable);
     } catch (IOException | RuntimeException e) {
@@ -108,10 +122,10 @@
   }
 
   /** What tells one boot of the host from another; empty where the system does not say. */
-  static String hostBoot() {
+  static String hostBoot() throws IOException {
     try {
       return Files.readString(Path.of("/proc/sys/kernel/random/boot_id")).strip();
-    } catch (IOException e) {
+    } catch (NoSuchFileException | AccessDeniedException e) {
       return "";
     }
   }
--- a/src/main/java/pumicekeel/journal/JournalWriter.java
+++ b/src/main/java/pumicekeel/journal/JournalWriter.java
@@ -35,8 +35,14 @@
   static final int MOST_WAITING = 8_192;
   /** A group: bounds the buffer, and how long the first of it waits for the last. */
   private static final int MOST_GROUP = 256;
-  /** After a failure; long against a write, short against an operator's patience. */
+  /** After a failure that follows others on end; the first ones are tried again sooner. Short against an operator's patience. */
   static final long AGAIN_MILLIS = 500;
+
+  private static final long FIRST_AGAIN_MILLIS = 10;
+  /** A group is tried so often on new segments before it counts as failed. */
+  private static final int GROUP_TRIES = 3;
+  /** A wall clock that stands wrong at the start must not take all segments for old: by age none goes before. */
+  private static final long LEAST_RUN_BEFORE_AGE_COUNTS_MILLIS = 3_600_000;
   /** Between two looks at what nobody waits for: after work, and once there was none for so long. */
   private static final long PARK_NANOS = 2_000_000L;
 
@@ -74,11 +80,31 @@
   private long lostFrom;
 
   private long lost;
+  private final long startedAt = System.nanoTime();
+  private final Consumer<String> log;
+  private int failuresOnEnd;
+  private long troubleSince;
   private final AtomicInteger turnedAway = new AtomicInteger();
 
-  /** {@code loop} runs what tells the loop; {@code wall} is Unix time in milliseconds. */
+  /** One whose changes of state nobody reads. */
   JournalWriter(
       Disk disk, Settings settings, Entry.Boot boot, long epoch, Executor loop, LongSupplier wall) {
+    this(disk, settings, boot, epoch, loop, wall, line -> {});
+  }
+
+  /**
+   * {@code loop} runs what tells the loop; {@code wall} is Unix time in milliseconds; {@code log} gets a line when the disk begins to fail
+   * and when it works again.
+   */
+  JournalWriter(
+      Disk disk,
+      Settings settings,
+      Entry.Boot boot,
+      long epoch,
+      Executor loop,
+      LongSupplier wall,
+      Consumer<String> log) {
+    this.log = log;
     this.disk = disk;
     this.settings = settings;
     this.boot = boot;
@@ -164,7 +190,7 @@
       }
       workedAt = System.nanoTime();
       waiting.addAndGet(-group.size());
-      tell(group, writeGroup(group));
+      tell(group, writeGroupOrLose(group));
       group.clear();
     }
     end();
@@ -188,26 +214,41 @@
     }
   }
 
+  /** A defect of one group is no end of the thread, which nobody would start again. */
+  private boolean writeGroupOrLose(List<Waiting> group) {
+    try {
+      return writeGroup(group);
+    } catch (RuntimeException e) {
+      fail(new IOException(e));
+      lose(group, wall.getAsLong());
+      return false;
+    }
+  }
+
   private boolean writeGroup(List<Waiting> group) {
     long now = wall.getAsLong();
     int away = turnedAway.getAndSet(0);
     lostFrom = away > 0 && lost == 0 ? now - AGAIN_MILLIS : lostFrom;
     lost += away;
-    try {
-      if (segment == null) {
-        if (troubleUntil != 0 && troubleUntil - System.nanoTime() > 0) {
-          lose(group, now);
-          return false;
-        }
-        begin();
-      }
-      write(group.stream().map(Waiting::entry).toList());
-      return true;
-    } catch (IOException e) {
-      fail(e);
+    if (segment == null && troubleUntil != 0 && troubleUntil - System.nanoTime() > 0) {
       lose(group, now);
       return false;
     }
+    // A failure that lasts is not tried at full speed.
+    int tries = failuresOnEnd == 0 ? GROUP_TRIES : 1;
+    for (int i = 0; i < tries; i++) {
+      try {
+        if (segment == null) {
+          begin();
+        }
+        write(group.stream().map(Waiting::entry).toList());
+        return true;
+      } catch (IOException e) {
+        fail(e);
+      }
+    }
+    lose(group, now);
+    return false;
   }
 
   private void lose(List<Waiting> group, long now) {
@@ -216,8 +257,18 @@
   }
 
   private void fail(IOException e) {
+    failuresOnEnd++;
+    if (trouble == null) {
+      troubleSince = System.nanoTime();
+    }
     trouble = String.valueOf(e.getMessage());
-    troubleUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AGAIN_MILLIS);
+    long pause =
+        Math.min(AGAIN_MILLIS, FIRST_AGAIN_MILLIS << Math.min(failuresOnEnd - 1, Byte.SIZE));
+    if (failuresOnEnd == GROUP_TRIES) {
+      log.accept("journal: the disk fails, requests that go on record are "
+          + (settings.refusesInTrouble() ? "refused" : "sent without one") + ": " + trouble);
+    }
+    troubleUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(pause);
     try {
       if (segment != null) {
         segment.close();
@@ -232,17 +283,30 @@
   private void begin() throws IOException {
     makeRoom();
     salt = random.nextLong();
-    name = String.format("%016x-%08d%s", epoch, number, FolderDisk.SUFFIX);
+    int next = number;
+    // Also where it fails: the file may be there, and the name would never be free again.
+    number++;
+    name = String.format("%016x-%08d%s", epoch, next, FolderDisk.SUFFIX);
     segment = disk.create(name);
     written = 0;
     buffer.clear();
-    Codec.header(buffer, new Codec.Header(Codec.VERSION, epoch, number, salt));
-    number++;
+    Codec.header(buffer, new Codec.Header(Codec.VERSION, epoch, next, salt));
     Codec.frame(buffer, salt, boot);
   }
 
   /** Deletes what is too old or too much, the oldest first. */
-  private void makeRoom() throws IOException {
+  private void makeRoom() {
+    try {
+      deleteOld();
+    } catch (IOException e) {
+      log.accept("journal: an old segment stays: " + e);
+    }
+  }
+
+  private void deleteOld() throws IOException {
+    long runMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
+    boolean ageCounts =
+        runMillis >= Math.min(settings.keepMillis(), LEAST_RUN_BEFORE_AGE_COUNTS_MILLIS);
     List<Disk.Stored> stored = disk.list();
     long bytes = stored.stream().mapToLong(Disk.Stored::bytes).sum();
     for (Disk.Stored s : stored) {
@@ -251,7 +315,7 @@
         // have run.
         continue;
       }
-      boolean old = wall.getAsLong() - s.modifiedMillis() > settings.keepMillis();
+      boolean old = ageCounts && wall.getAsLong() - s.modifiedMillis() > settings.keepMillis();
       if (!old && bytes + settings.segmentBytes() <= settings.keepBytes()) {
         return;
       }
@@ -280,6 +344,12 @@
     if (settings.durability() == Durability.HOST) {
       segment.sync();
     }
+    if (failuresOnEnd >= GROUP_TRIES) {
+      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - troubleSince);
+      log.accept("journal: the disk works again after " + millis + " ms, " + lost
+          + " records were not written");
+    }
+    failuresOnEnd = 0;
     lost = 0;
     troubleUntil = 0;
     trouble = null;
@@ -288,7 +358,11 @@
   /** Which segment holds the intent of an attempt that is still out; bounded by the attempts that are. */
   private void track(Entry entry) {
     if (entry instanceof Entry.Intent e) {
-      open.put(e.id() + "#" + e.attempt(), name);
+      String before = open.put(e.id() + "#" + e.attempt(), name);
+      if (before != null) {
+        // Written once already, to a segment that was given up.
+        openIn.computeIfPresent(before, (k, n) -> n == 1 ? null : n - 1);
+      }
       openIn.merge(name, 1, Integer::sum);
     } else if (entry instanceof Entry.Ended e) {
       String in = open.remove(e.id() + "#" + e.attempt());
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -268,7 +268,8 @@
             spec.segmentBytes(),
             spec.keepBytes(),
             spec.keepMillis()),
-        loop);
+        loop,
+        Log::line);
     Clock clock = services.clock();
     KeyMemory memory = new KeyMemory(KeyMemory.MOST);
     int keys = journal.recover(memory, clock.now());
