Configuration store: a read that fails for a moment is no damage, and a version is kept later

FileConfigurationStore.readInto took any failed read for damage and put a good, acknowledged version aside; a save whose directory sync failed was told as not stored but came back at the next start; a balancer that could not keep the version in force never tried again (DeliveredConfiguration.keep).

--- a/src/main/java/pumicekeel/delivery/FileConfigurationStore.java
+++ b/src/main/java/pumicekeel/delivery/FileConfigurationStore.java
@@ -31,8 +31,15 @@
   private static final String TEMPORARY_SUFFIX = ".partial";
   private static final String DAMAGED_SUFFIX = ".damaged";
 
+  /** Reads a file whole; tests have one that fails. */
+  @FunctionalInterface
+  interface WholeReader {
+    byte[] read(Path file) throws IOException;
+  }
+
   private final Path directory;
   private final DurableWriter writer;
+  private final WholeReader reader;
   private final Consumer<String> log;
   /** Null where others may use the directory as well. */
   private final FileChannel lockFile;
@@ -41,7 +48,8 @@
   public static FileConfigurationStore exclusive(Path directory, Consumer<String> log)
       throws IOException {
     Files.createDirectories(directory);
-    return new FileConfigurationStore(directory, DurableWriter.SYSTEM, log, lock(directory));
+    return new FileConfigurationStore(
+        directory, DurableWriter.SYSTEM, Files::readAllBytes, log, lock(directory));
   }
 
   /**
@@ -50,19 +58,25 @@
    */
   public static FileConfigurationStore shared(Path directory, Consumer<String> log)
       throws IOException {
-    return shared(directory, DurableWriter.SYSTEM, log);
+    return shared(directory, DurableWriter.SYSTEM, Files::readAllBytes, log);
   }
 
-  static FileConfigurationStore shared(Path directory, DurableWriter writer, Consumer<String> log)
+  static FileConfigurationStore shared(
+      Path directory, DurableWriter writer, WholeReader reader, Consumer<String> log)
       throws IOException {
     Files.createDirectories(directory);
-    return new FileConfigurationStore(directory, writer, log, null);
+    return new FileConfigurationStore(directory, writer, reader, log, null);
   }
 
   private FileConfigurationStore(
-      Path directory, DurableWriter writer, Consumer<String> log, FileChannel lockFile) {
+      Path directory,
+      DurableWriter writer,
+      WholeReader reader,
+      Consumer<String> log,
+      FileChannel lockFile) {
     this.directory = directory;
     this.writer = writer;
+    this.reader = reader;
     this.log = log;
     this.lockFile = lockFile;
   }
@@ -90,7 +104,7 @@
     for (Path file : files()) {
       String name = file.getFileName().toString();
       if (name.endsWith(TEMPORARY_SUFFIX)) {
-        Files.delete(file);
+        deleteLeftOver(file);
       } else if (name.endsWith(SUFFIX)) {
         readInto(whole, file);
       }
@@ -100,14 +114,26 @@
     return whole;
   }
 
+  /** It is in the way of nothing. */
+  private void deleteLeftOver(Path file) {
+    try {
+      Files.deleteIfExists(file);
+    } catch (IOException e) {
+      log.accept("configuration store: " + file + " stays: " + e);
+    }
+  }
+
+  /** A file that can't be read at this moment is none that is damaged: the whole look is to be repeated. */
   private void readInto(List<StoredConfiguration> whole, Path file) throws IOException {
+    boolean tooLarge = Files.size(file) > MOST_BYTES;
+    byte[] bytes = tooLarge ? new byte[0] : reader.read(file);
     try {
-      if (Files.size(file) > MOST_BYTES) {
-        throw new IOException("it is larger than any configuration");
+      if (tooLarge) {
+        throw new IllegalArgumentException("it is larger than any configuration");
       }
-      StoredConfiguration stored = StoredFormat.decode(Files.readAllBytes(file));
+      StoredConfiguration stored = StoredFormat.decode(bytes);
       if (!file.equals(fileOf(stored.version()))) {
-        throw new IOException("it holds version " + stored.version());
+        throw new IllegalArgumentException("it holds version " + stored.version());
       }
       whole.add(stored);
     } catch (IOException | IllegalArgumentException e) {
@@ -122,12 +148,15 @@
     Path file = fileOf(configuration.version());
     long process = ProcessHandle.current().pid();
     Path temporary = file.resolveSibling(file.getFileName() + "." + process + TEMPORARY_SUFFIX);
+    boolean moved = false;
     try {
       writer.write(temporary, StoredFormat.encode(configuration));
       Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
+      moved = true;
       syncDirectory();
     } catch (IOException e) {
-      Files.deleteIfExists(temporary);
+      // Told as not stored, it may not come back at the next start as if it were.
+      deleteLeftOver(moved ? file : temporary);
       throw e;
     }
     deleteOld(configuration.version());
--- a/src/main/java/pumicekeel/delivery/control/ControlServer.java
+++ b/src/main/java/pumicekeel/delivery/control/ControlServer.java
@@ -35,6 +35,7 @@
 import pumicekeel.delivery.wire.ReplyFormat;
 import pumicekeel.runtime.Addresses;
 import pumicekeel.runtime.Log;
+import pumicekeel.runtime.Persistent;
 import pumicekeel.runtime.Reactor;
 
 /**
@@ -72,6 +73,9 @@
   private final WaitingCalls waiting = new WaitingCalls(ControlServer::answer);
   private final UploadLimit.Count uploads = new UploadLimit.Count();
   private InetSocketAddress address;
+  /** What fails for a moment is tried again for so long. */
+  private static final long START_MILLIS = 15_000;
+
   private ConfigurationSubscriber peers;
   private int connections;
 
@@ -84,8 +88,10 @@
   /** Reads the store, listens and follows the peers; an IOException says in words why it can't. */
   public static ControlServer start(Settings settings, TextCheck check)
       throws IOException, InterruptedException {
-    FileConfigurationStore store =
-        FileConfigurationStore.exclusive(settings.directory(), Log::line);
+    FileConfigurationStore store = Persistent.call(
+        "configuration store",
+        START_MILLIS,
+        () -> FileConfigurationStore.exclusive(settings.directory(), Log::line));
     ControlServer server = new ControlServer(settings, store, check);
     try {
       server.start();
@@ -97,7 +103,10 @@
   }
 
   private void start() throws IOException, InterruptedException {
-    keeper.load();
+    Persistent.call("configuration store", START_MILLIS, () -> {
+      keeper.load();
+      return keeper;
+    });
     ChannelFuture bound = new ServerBootstrap()
         .group(on.loop())
         .channelFactory(on.sockets()::listening)
--- a/src/main/java/pumicekeel/node/DeliveredConfiguration.java
+++ b/src/main/java/pumicekeel/node/DeliveredConfiguration.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import pumicekeel.config.Configuration;
 import pumicekeel.config.Operator;
 import pumicekeel.delivery.Candidate;
@@ -27,10 +28,17 @@
   /** Faults that are told to the control machines and in the log; {@code check} shows all. */
   private static final int MOST_FAULTS = 3;
 
+  /** Between two tries to keep the version in force on a disk that fails. */
+  private static final long KEEP_AGAIN_MILLIS = 500;
+
   private final Operator local;
   private final ConfigurationStore store;
   private final Configuration platform;
   private Node node;
+  private Executor worker;
+  /** Tries that failed since a version was kept last; only on the worker. */
+  private int keepTries;
+
   private Operator first;
   private String text = "";
   /** Written by the thread that takes versions; read by any. */
@@ -102,6 +110,7 @@
   /** Follows the control machines from now on; the worker checks texts and reloads. */
   ConfigurationSubscriber follow(Node started, Executor worker) {
     node = started;
+    this.worker = worker;
     ConfigurationSubscriber subscriber = new ConfigurationSubscriber(
         Reactor.of(node.loop()),
         platform.name(),
@@ -155,8 +164,16 @@
   private void keep() {
     try {
       store.save(new StoredConfiguration(inForce, System.currentTimeMillis(), text));
+      if (keepTries > 0) {
+        Log.line("configuration: version " + inForce + " is kept now");
+      }
+      keepTries = 0;
     } catch (IOException e) {
-      Log.line("configuration: version " + inForce + " could not be kept for the next start: " + e);
+      keepTries++;
+      Log.caused("configuration: version " + inForce
+          + " could not be kept for the next start, tried again: " + e);
+      node.loop()
+          .schedule(() -> worker.execute(this::keep), KEEP_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/src/test/java/pumicekeel/delivery/FileConfigurationStoreTest.java
+++ b/src/test/java/pumicekeel/delivery/FileConfigurationStoreTest.java
@@ -80,10 +80,30 @@
     assertTrue(Files.exists(directory.resolve("1-2.configuration.damaged")));
   }
 
+  /** What can't be read at this moment is there at the next look, and not taken for damaged. */
+  @Test
+  void aReadThatFailsForAMomentPutsNoVersionAside() throws IOException {
+    saveThenLoad(1, 2);
+    int[] failures = {1};
+    FileConfigurationStore.WholeReader once = file -> {
+      if (failures[0]-- > 0) {
+        throw new IOException("Input/output error");
+      }
+      return Files.readAllBytes(file);
+    };
+    try (var store =
+        FileConfigurationStore.shared(directory, DurableWriter.SYSTEM, once, lines::add)) {
+      assertThrows(IOException.class, store::load);
+      assertEquals(List.of(configuration(2), configuration(1)), store.load());
+    }
+    assertTrue(lines.isEmpty(), lines.toString());
+  }
+
   @Test
   void fullDiskRefusesTheVersionAndKeepsTheOld() throws IOException {
     saveThenLoad(1);
-    try (var store = FileConfigurationStore.shared(directory, FULL, lines::add)) {
+    try (var store =
+        FileConfigurationStore.shared(directory, FULL, Files::readAllBytes, lines::add)) {
       IOException e = assertThrows(IOException.class, () -> store.save(configuration(2)));
       assertTrue(e.getMessage().contains("No space left"), e.getMessage());
     }
@@ -95,7 +115,8 @@
   @Test
   void failedSaveOfAVersionThatIsThereLeavesItWhole() throws IOException {
     saveThenLoad(1, 2);
-    try (var store = FileConfigurationStore.shared(directory, FULL, lines::add)) {
+    try (var store =
+        FileConfigurationStore.shared(directory, FULL, Files::readAllBytes, lines::add)) {
       assertThrows(IOException.class, () -> store.save(configuration(2)));
     }
     assertEquals(List.of(configuration(2), configuration(1)), load());
