A stepped wall clock makes no cold upstream warm

Cause: starts in lists are Unix time and were compared with a clock whose origin is the wall clock at the process's start (Clock, HostList.host): after a step, or in a process that began with a wrong clock, a cold upstream counts as warm by the step. StartTimes translates each start once, by each difference of the two clocks for which there is evidence (its own readings, the Date of discovery's answers, a start that is told of first though it would be a minute older than the list before), and takes the latest. Excluded: what is known keeps its time, so an outage of discovery makes nothing cold.

--- a/src/main/java/pumicekeel/discovery/Discovery.java
+++ b/src/main/java/pumicekeel/discovery/Discovery.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DateFormatter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -21,6 +22,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Date;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pumicekeel.adapter.Fields;
@@ -48,6 +50,7 @@
   private long index;
   private boolean wanted;
   private Channel current;
+  private final StartTimes starts = new StartTimes();
 
   public Discovery(
       Reactor on,
@@ -203,6 +206,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+      if (message instanceof HttpResponse head) {
+        noteDate(head);
+      }
       if (message.decoderResult().isFailure()) {
         end("malformed answer");
       } else if (message instanceof HttpResponse response && response.status().code() != 200) {
@@ -212,11 +218,21 @@
         if (message instanceof LastHttpContent) {
           end("ended");
         } else if (current == channel && !frames.half()) {
+          starts.heard(on.clock().now());
           expect(terms.silenceMillis());
         }
       }
     }
 
+    /** Discovery's own wall clock, where it tells it. */
+    private void noteDate(HttpResponse head) {
+      Date date = DateFormatter.parseHttpDate(head.headers().get(HttpHeaderNames.DATE, ""));
+      if (date != null) {
+        starts.clocksRead(
+            TimeUnit.MILLISECONDS.toNanos(date.getTime()), on.clock().now());
+      }
+    }
+
     /** What the answer's body holds, a list at a time. */
     private final class Lists extends SimpleChannelInboundHandler<ByteBuf> {
       @Override
@@ -224,7 +240,9 @@
         if (current == channel) {
           HostList list = HostList.of(Fields.parse("list", whole.toString(StandardCharsets.UTF_8)));
           index = list.index();
-          news.accept(list);
+          long now = on.clock().now();
+          starts.clocksRead(on.clock().wallNanos(), now);
+          news.accept(starts.byOwnClock(list, now));
         }
       }
 
