No connection is closed over unread bytes, and what waited for two turns of the loop is charged

A loop that was late closed idle connections by its timers before it read them: ClientHandler.atRest looks at the socket right before. A listener's socket stays open until its selector looks again after a close, and resets who comes in between: ended right behind the last look at its line. The log tells of a loop that is late by over 0.15 s.

--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -123,6 +123,11 @@
     return untaken() && !times.partCame();
   }
 
+  /** Nothing waits unread in its socket either. Asked right before a close: a request may have come while the loop was busy. */
+  boolean atRest() {
+    return !side.unread(ctx.channel());
+  }
+
   /** No whole request has come that has no answer yet, and no last answer is on its way out. */
   public boolean untaken() {
     return taken == null && !ends;
--- a/src/main/java/pumicekeel/front/http/ClientLimits.java
+++ b/src/main/java/pumicekeel/front/http/ClientLimits.java
@@ -67,7 +67,7 @@
         c.abort(c.skippingFor(now) > 0 ? CloseReason.SKIPPED_TOO_MUCH : CloseReason.STUCK);
       } else if (c.late(now) || full() && c.neverAsked() && c.comingFor(now) > SILENT_NANOS) {
         c.expire();
-      } else if (c.idle() && c.idleFor(now) > longestIdle(c)) {
+      } else if (c.idle() && c.idleFor(now) > longestIdle(c) && c.atRest()) {
         c.close(CloseReason.IDLE);
       }
     }
@@ -76,6 +76,7 @@
       side.connections().stream()
           .filter(c -> c.idle() && !c.neverAsked())
           .max(Comparator.comparingLong(c -> c.idleFor(now)))
+          .filter(ClientHandler::atRest)
           .ifPresent(c -> c.close(CloseReason.GIVES_WAY));
     }
   }
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -181,6 +181,11 @@
     return on.sockets().drop(channel, most);
   }
 
+  /** Whether something of a client waits unread: its next request may cross its connection's end. */
+  boolean unread(Channel channel) {
+    return on.sockets().unread(channel);
+  }
+
   RequestRouter router() {
     return router;
   }
@@ -235,7 +240,7 @@
     handler.waited(Math.max(waitedInLine(now), lag.behindNanos()) + waitedNanos);
     if (connections.size() >= accepts.limit()) {
       connections.stream()
-          .filter(c -> c != handler && c.idle() && !c.neverAsked())
+          .filter(c -> c != handler && c.idle() && !c.neverAsked() && c.atRest())
           .findFirst()
           .ifPresentOrElse(c -> c.close(CloseReason.GIVES_WAY), this::pause);
     }
@@ -265,7 +270,7 @@
     }
     if (scope == FailureScope.PROCESS) {
       connections.stream()
-          .filter(c -> c.idle() && !c.neverAsked())
+          .filter(c -> c.idle() && !c.neverAsked() && c.atRest())
           .findFirst()
           .ifPresent(c -> c.close(CloseReason.GIVES_WAY));
     }
@@ -346,7 +351,7 @@
     closing = true;
     long now = clock().now();
     List.copyOf(connections).stream()
-        .filter(c -> c.idle() && c.idleFor(now) > JUST_NANOS)
+        .filter(c -> c.idle() && c.idleFor(now) > JUST_NANOS && c.atRest())
         .forEach(c -> c.close(CloseReason.STOPPING));
   }
 
@@ -396,7 +401,8 @@
     long now = clock().now();
     List.copyOf(connections).stream()
         .filter(c -> c.untaken()
-            && (!c.idle() || c.idleFor(now) > (c.neverAsked() ? NEW_NANOS : JUST_NANOS)))
+            && (!c.idle()
+                || c.idleFor(now) > (c.neverAsked() ? NEW_NANOS : JUST_NANOS) && c.atRest()))
         .forEach(ClientHandler::endUntaken);
   }
 }
--- a/src/main/java/pumicekeel/runtime/JdkSockets.java
+++ b/src/main/java/pumicekeel/runtime/JdkSockets.java
@@ -39,6 +39,7 @@
   private final MethodHandle accept;
   private final MethodHandle connected;
   private final MethodHandle closeDescriptor;
+  private final MethodHandle preClose;
   private final MethodHandle valueOf;
   private final MethodHandle descriptor;
   private final MethodHandle poll;
@@ -74,6 +75,8 @@
             SocketAddress.class));
     closeDescriptor =
         handle(lookup, Class.forName("sun.nio.ch.FileDispatcherImpl"), "closeIntFD", int.class);
+    preClose = handle(
+        lookup, Class.forName("sun.nio.ch.FileDispatcherImpl"), "preClose0", FileDescriptor.class);
     valueOf = handle(lookup, Class.forName("sun.nio.ch.IOUtil"), "fdVal", FileDescriptor.class);
     Class<?> selectable = Class.forName("sun.nio.ch.SelChImpl");
     descriptor = handle(lookup, selectable, "getFD")
@@ -158,6 +161,18 @@
     }
   }
 
+  /**
+   * Ends a channel's socket at once; the channel is still to be closed. A close alone leaves a registered socket as it is until its
+   * selector has looked again.
+   */
+  void endSocket(Channel channel) throws IOException {
+    try {
+      preClose.invokeExact(descriptorOf(channel));
+    } catch (Throwable e) {
+      throw asIo(e);
+    }
+  }
+
   /** The descriptor of a channel, as a number. */
   int numberOf(Channel channel) throws IOException {
     try {
--- a/src/main/java/pumicekeel/runtime/ListeningChannel.java
+++ b/src/main/java/pumicekeel/runtime/ListeningChannel.java
@@ -24,7 +24,7 @@
   /** A descriptor that can't become a channel for so long belongs to a connection that is no more. */
   private static final long LONGEST_MAKING_NANOS = TimeUnit.SECONDS.toNanos(3);
   /** Until when those in line are let in at a close, where accepting fails. */
-  private static final long LONGEST_CLOSE_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long LONGEST_CLOSE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
   /** A look that was interrupted sees nothing. */
   private static final int LOOKS = 4;
@@ -150,6 +150,17 @@
     }
   }
 
+  /** Right behind the last look at the line: one that comes in between would be reset by the close. */
+  private void endSocket() {
+    try {
+      if (jdk != null && isOpen()) {
+        jdk.endSocket(javaChannel());
+      }
+    } catch (IOException e) {
+      Log.caused("a listener's end: " + e);
+    }
+  }
+
   /** Lets in those that stand in line, so many at most, and closes; tries again for a while where accepting fails. */
   void closeBehindLine(int most) {
     closeBehindLine(most, System.nanoTime() + LONGEST_CLOSE_NANOS);
@@ -170,6 +181,7 @@
     pass(line);
     if (System.nanoTime() - until >= 0 || through && unmade.isEmpty()) {
       unmade.forEach(this::giveUp);
+      endSocket();
       close();
     } else {
       int left = most - line.size();
--- a/src/main/java/pumicekeel/runtime/LoopLag.java
+++ b/src/main/java/pumicekeel/runtime/LoopLag.java
@@ -15,6 +15,8 @@
   private static final long PERIOD_NANOS = 10_000_000L;
   /** Under this a loop is not behind: a piece of work, a collection. */
   private static final long BEHIND_NANOS = 50_000_000L;
+  /** The log tells of a loop that is late by more. */
+  private static final long TOLD_NANOS = 150_000_000L;
   /** What waited came at any time since the loop last looked: half of that on average. */
   private static final int WAIT_PART = 2;
 
@@ -27,6 +29,10 @@
   private volatile long due;
 
   private long late;
+  /** The last two looks. */
+  private long tickAt;
+
+  private long earlierTickAt;
   /** The last time at which the loop stood still, from when until when. */
   private volatile Still still;
 
@@ -35,6 +41,8 @@
   public LoopLag(Reactor on) {
     loop = on.loop();
     clock = on.clock();
+    tickAt = clock.now();
+    earlierTickAt = tickAt;
     loop.execute(this::next);
   }
 
@@ -46,7 +54,12 @@
 
   private void tick() {
     long now = clock.now();
+    earlierTickAt = tickAt;
+    tickAt = now;
     late = Math.max(0, now - due);
+    if (late > TOLD_NANOS) {
+      Log.caused("the event loop is late by " + TimeUnit.NANOSECONDS.toMillis(late) + " ms");
+    }
     if (late > BEHIND_NANOS) {
       still = new Still(due - PERIOD_NANOS, now);
     }
@@ -55,10 +68,11 @@
 
   /**
    * How long what is read now may have waited in its socket, at the most; 0 while the loop is hardly behind. Its sender's time
-   * ran meanwhile: whoever takes that for new promises an answer that comes too late. Only for the loop's own thread.
+   * ran meanwhile: whoever takes that for new promises an answer that comes too late. It came after the loop last asked for what had
+   * come, which was in the turn before this one, and so after the last look but one. Only for the loop's own thread.
    */
   public long behindNanos() {
-    long behind = Math.max(late, clock.now() - due);
+    long behind = clock.now() - earlierTickAt;
     return behind > BEHIND_NANOS ? behind : 0;
   }
 
--- a/src/main/java/pumicekeel/runtime/NioSockets.java
+++ b/src/main/java/pumicekeel/runtime/NioSockets.java
@@ -43,6 +43,11 @@
     return channel instanceof Accepted accepted ? System.nanoTime() - accepted.acceptedAt : 0;
   }
 
+  @Override
+  public boolean unread(Channel channel) {
+    return channel instanceof Accepted accepted && accepted.unread();
+  }
+
   @Override
   public Backlog backlog(Channel listener) {
     return ((ListeningChannel) listener).backlog();
@@ -63,6 +68,15 @@
       this.acceptedAt = acceptedAt;
     }
 
+    private boolean unread() {
+      JdkSockets jdk = JdkSockets.get();
+      try {
+        return jdk != null && isOpen() && jdk.waits(javaChannel());
+      } catch (IOException e) {
+        return false;
+      }
+    }
+
     private int drop(int most) {
       ByteBuffer bytes = ByteBuffer.allocate(DROP_BYTES);
       int dropped = 0;
--- a/src/main/java/pumicekeel/runtime/Sockets.java
+++ b/src/main/java/pumicekeel/runtime/Sockets.java
@@ -32,6 +32,11 @@
    */
   int drop(Channel channel, int most);
 
+  /** Whether bytes or an end wait unread on one that {@link #listening} accepted; false also where nobody can tell. */
+  default boolean unread(Channel accepted) {
+    return false;
+  }
+
   /** What is known of the connections that wait to be accepted. */
   enum Backlog {
     EMPTY,
