A stop ends once its listeners have, and a defect of one call leaves the others their answers

RpcClient closed its connection, with all calls open on it, at any exception of one message, and at once where the shutdown of its end failed; both now end after their answers. Excluded: HTTP's own end of a failed shutdown, which is by time already.

--- a/src/main/java/pumicekeel/front/Front.java
+++ b/src/main/java/pumicekeel/front/Front.java
@@ -38,6 +38,9 @@
   /** Takes no more, also of what has come in part. */
   void closeUntaken();
 
+  /** Whether no connection is open and none can come any more. */
+  boolean ended();
+
   /** Connections that are open. */
   int open();
 }
--- a/src/main/java/pumicekeel/front/http/ClientLimits.java
+++ b/src/main/java/pumicekeel/front/http/ClientLimits.java
@@ -55,7 +55,7 @@
   }
 
   private void look() {
-    if (side.over()) {
+    if (side.ended()) {
       looks.cancel(false);
       return;
     }
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -219,7 +219,8 @@
   }
 
   /** Accepts no more and has nothing open. */
-  boolean over() {
+  @Override
+  public boolean ended() {
     return connections.isEmpty() && (!listener.isOpen() || adopted && ready && !accepting);
   }
 
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcClient.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcClient.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -22,6 +21,7 @@
 import pumicekeel.call.Answer;
 import pumicekeel.front.jsonrpc.BatchAnswers.How;
 import pumicekeel.front.jsonrpc.RpcCall.TurnedAway;
+import pumicekeel.guard.CloseReason;
 import pumicekeel.jsonrpc.Codes;
 import pumicekeel.jsonrpc.Frame;
 import pumicekeel.jsonrpc.FrameDecoder;
@@ -428,7 +428,8 @@
 
   /** Ends our side, and the connection once the other has ended its own, or a little later. */
   void finish() {
-    if (finishing) {
+    if (finishing
+        || !side.guard().mayClose(CloseReason.LAST_ANSWER, calls.isEmpty() ? null : "a call")) {
       return;
     }
     finishing = true;
@@ -439,7 +440,9 @@
         ctx.close();
         return;
       }
-      duplex.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+      // Where that fails the close that follows does it; one at once could reset what is still to
+      // be read.
+      duplex.shutdownOutput();
       ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     });
   }
@@ -485,9 +488,12 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      Log.caused("client " + context.channel().remoteAddress() + ": " + cause);
+    if (cause instanceof IOException || readsNoMore) {
+      context.close();
+      return;
     }
-    context.close();
+    // A defect of one message's handling is no reason to leave the calls that are open unanswered.
+    Log.caused("client " + context.channel().remoteAddress() + ": " + cause);
+    endWith(Codes.FAILED, "internal error");
   }
 }
--- a/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
+++ b/src/main/java/pumicekeel/front/jsonrpc/RpcSide.java
@@ -16,6 +16,7 @@
 import pumicekeel.front.AcceptControl;
 import pumicekeel.front.AcceptFaults;
 import pumicekeel.front.Front;
+import pumicekeel.guard.ServingGuard;
 import pumicekeel.runtime.Clock;
 import pumicekeel.runtime.FailureScope;
 import pumicekeel.runtime.Log;
@@ -125,6 +126,10 @@
     return on.clock();
   }
 
+  ServingGuard guard() {
+    return on.guard();
+  }
+
   RequestRouter router() {
     return router;
   }
@@ -208,7 +213,7 @@
   }
 
   private void look() {
-    if (connections.isEmpty() && !listener.isOpen()) {
+    if (ended()) {
       looks.cancel(false);
       return;
     }
@@ -256,6 +261,11 @@
     List.copyOf(connections).stream().filter(c -> c.open() == 0).forEach(RpcClient::finish);
   }
 
+  @Override
+  public boolean ended() {
+    return connections.isEmpty() && !listener.isOpen();
+  }
+
   @Override
   public int open() {
     return connections.size();
--- a/src/main/java/pumicekeel/guard/ServingGuard.java
+++ b/src/main/java/pumicekeel/guard/ServingGuard.java
@@ -95,11 +95,6 @@
     return true;
   }
 
-  /** Whether a request may be taken under an id; {@code open} where one is open under it. */
-  public boolean mayTake(boolean open) {
-    return !open;
-  }
-
   /** Something was done, or about to be done, that must never be. */
   public void violated(Violation what, String detail) {
     IN_PROCESS.incrementAndGet();
--- a/src/main/java/pumicekeel/guard/Violation.java
+++ b/src/main/java/pumicekeel/guard/Violation.java
@@ -9,7 +9,5 @@
   /** A refusal, which promises that trying again is harmless, where something may have run. */
   REFUSAL_NOT_HARMLESS,
   /** An attempt would tell its upstream more time than its client has left. */
-  TOLD_TOO_MUCH_TIME,
-  /** A request was taken under an id that is open. */
-  ID_OPEN_TWICE
+  TOLD_TOO_MUCH_TIME
 }
--- a/src/main/java/pumicekeel/node/Listeners.java
+++ b/src/main/java/pumicekeel/node/Listeners.java
@@ -154,7 +154,7 @@
     if (on.clock().now() - end >= 0) {
       side.closeUntaken();
     }
-    if (side.open() == 0) {
+    if (side.ended()) {
       leaving.remove(side);
     } else {
       loop.schedule(() -> close(side, end), POLL_MILLIS, TimeUnit.MILLISECONDS);
@@ -193,6 +193,11 @@
     return all().stream().mapToInt(Front::open).sum();
   }
 
+  /** Whether no connection is open at any, and none can come any more. */
+  boolean ended() {
+    return all().stream().allMatch(Front::ended);
+  }
+
   private List<Front> all() {
     List<Front> all = new ArrayList<>();
     all.add(platform);
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -486,7 +486,7 @@
 
   private void takeNoMore() {
     listeners.closeUntaken();
-    if (listeners.open() == 0) {
+    if (listeners.ended()) {
       Log.line(configuration.name() + " has drained");
       drained.countDown();
     } else {
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcAttempt.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcAttempt.java
@@ -68,7 +68,7 @@
         && connection.keptAndSilent(id, framesThen)
         && sinceSent() < STALE_NANOS;
     if (how == Status.TIMEOUT || how == Status.CANCELLED) {
-      connection.giveUp(this, how == Status.TIMEOUT ? timeoutNanos() : 0);
+      connection.giveUp(this, how == Status.TIMEOUT);
     }
   }
 }
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
@@ -253,8 +253,8 @@
     }
   }
 
-  /** A call is not waited for any more; {@code silentNanos}: after so long of silence no new one goes out here. */
-  void giveUp(RpcAttempt attempt, long silentNanos) {
+  /** A call is not waited for any more; where it timed out and nothing came since it was sent, no new one goes out here. */
+  void giveUp(RpcAttempt attempt, boolean timedOut) {
     if (closed) {
       return;
     }
@@ -275,7 +275,9 @@
     }
     lapsed.add(id);
     becameIdle();
-    if (silentNanos > 0 && on.clock().now() - heardAt >= silentNanos) {
+    // By its sending, not by its time-out: that began before the connection was made, or ran while
+    // the loop was late.
+    if (timedOut && heardAt - attempt.sentAt() <= 0) {
       retire();
     }
     closeIfRetired();
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcLinks.java
@@ -12,6 +12,7 @@
 import pumicekeel.call.ClientRequest;
 import pumicekeel.pool.Shares;
 import pumicekeel.runtime.Reactor;
+import pumicekeel.runtime.Repeated;
 import pumicekeel.upstream.SocketUser;
 import pumicekeel.upstream.UpstreamLink;
 import pumicekeel.upstream.UpstreamLinks;
@@ -59,8 +60,8 @@
     if (sweep != null) {
       sweep.cancel(false);
     }
-    long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
-    sweep = on.loop().scheduleAtFixedRate(this::closeOld, period, period, TimeUnit.NANOSECONDS);
+    long periodMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(this.idleNanos / SWEEPS));
+    sweep = Repeated.every(periodMillis, on.loop(), this::closeOld);
   }
 
   /** Why a request can't be sent to these servers; null where it can. */
