What stood in a socket before its connection was opened, or while reading failed, is charged

Now a look at the socket at the accept says whether its bytes stood there already (then all is charged), and a read that failed for a while is charged from its first failure. Excluded: the wait for the upstream (none in the timeline).

--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -91,6 +91,7 @@
   /** What its client may have waited unread, in the line before it was accepted or while the connection rested; counts for the next request. */
   private long waited;
 
+  private boolean cameBeforeOpening;
   private long restSince;
   private long restedAt;
 
@@ -174,8 +175,10 @@
     return upload != null;
   }
 
-  void waited(long nanos) {
-    waited = nanos;
+  /** Accepted after so long in line; where bytes stood in its socket by then they are its first request's. */
+  void opened(long waitedNanos, boolean bytesCame) {
+    waited = waitedNanos;
+    cameBeforeOpening = bytesCame;
   }
 
   /** Ends a request that does not come to its end. */
@@ -243,11 +246,13 @@
   private void noteWaiting() {
     if (times.neverAnswered()) {
       long since = times.idleFor(now());
-      waited = since < JUST_OPENED_NANOS + side.behindNanos() ? waited + since : 0;
+      boolean stood = cameBeforeOpening || since < JUST_OPENED_NANOS + side.behindNanos();
+      waited = stood ? waited + since : 0;
     } else if (restedAt != 0 && now() - restedAt < JUST_RESTED_NANOS) {
       waited = restedAt - restSince;
     }
     restedAt = 0;
+    waited = Math.max(waited, side.behindNanos() + side.readDelayNanos(ctx.channel()));
   }
 
   /** So many bytes came behind a request that still waits: it is the last one of its connection. */
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -142,7 +142,7 @@
             channel
                 .pipeline()
                 .addLast(new RequestDecoder(handler::accepts), new HttpResponseEncoder(), handler);
-            opened(handler, on.sockets().waitedNanos(channel));
+            opened(handler, channel);
           }
         });
   }
@@ -186,6 +186,11 @@
     return on.sockets().unread(channel);
   }
 
+  /** How long reading what came last had failed before. */
+  long readDelayNanos(Channel channel) {
+    return on.sockets().readDelayNanos(channel);
+  }
+
   RequestRouter router() {
     return router;
   }
@@ -234,11 +239,12 @@
    * whether this balancer is up, would wait in line; with none nothing is accepted until {@link ClientLimits} has
    * made room.
    */
-  private void opened(ClientHandler handler, long waitedNanos) {
+  private void opened(ClientHandler handler, Channel channel) {
     long now = clock().now();
+    long waitedNanos = on.sockets().waitedNanos(channel);
     connections.add(handler);
     accepts.accepted();
-    handler.waited(Math.max(waitedInLine(now), lag.behindNanos()) + waitedNanos);
+    handler.opened(Math.max(waitedInLine(now), lag.behindNanos()) + waitedNanos, unread(channel));
     if (connections.size() >= accepts.limit()) {
       connections.stream()
           .filter(c -> c != handler && c.idle() && !c.neverAsked() && c.atRest())
--- a/src/main/java/pumicekeel/rig/soak/SoakJudge.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakJudge.java
@@ -42,6 +42,8 @@
   static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   static final long BEGIN_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   static final long TOLD_SLACK_MILLIS = 150;
+  /** From the note of a kill to the process's end, which another program has to be started for. */
+  private static final long KILL_TAKES_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
   private static final long GRACE_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final int OK = 200;
   private static final int TOO_MANY = 429;
@@ -149,7 +151,7 @@
   private boolean wasKilled(String who, long from, long to) {
     return killed.stream()
         .anyMatch(k -> k.clients().equals(who)
-            && k.atNanos() >= from
+            && k.atNanos() >= from - KILL_TAKES_NANOS
             && k.atNanos() <= to + LATE_NANOS + ownLagNanos);
   }
 
--- a/src/main/java/pumicekeel/runtime/NioSockets.java
+++ b/src/main/java/pumicekeel/runtime/NioSockets.java
@@ -48,6 +48,11 @@
     return channel instanceof Accepted accepted && accepted.unread();
   }
 
+  @Override
+  public long readDelayNanos(Channel channel) {
+    return channel instanceof TolerantSocketChannel tolerant ? tolerant.readDelayNanos() : 0;
+  }
+
   @Override
   public Backlog backlog(Channel listener) {
     return ((ListeningChannel) listener).backlog();
--- a/src/main/java/pumicekeel/runtime/Sockets.java
+++ b/src/main/java/pumicekeel/runtime/Sockets.java
@@ -37,6 +37,11 @@
     return false;
   }
 
+  /** How long reading what was read last had failed before, in nanoseconds; 0 where it worked at once. */
+  default long readDelayNanos(Channel accepted) {
+    return 0;
+  }
+
   /** What is known of the connections that wait to be accepted. */
   enum Backlog {
     EMPTY,
--- a/src/main/java/pumicekeel/runtime/TolerantSocketChannel.java
+++ b/src/main/java/pumicekeel/runtime/TolerantSocketChannel.java
@@ -26,6 +26,10 @@
   /** Reads of the program's own that are tried at once; where all fail, nothing is known. */
   private static final int READ_TRIES = 16;
 
+  /** Since when reading fails; 0 where the last read worked. */
+  private long readFailsSince;
+
+  private long readDelayNanos;
   private boolean writesAgain;
   private boolean sendsAtOnce;
 
@@ -39,13 +43,23 @@
   protected int doReadBytes(ByteBuf into) throws Exception {
     try {
       int read = super.doReadBytes(into);
-      return read < END_OF_STREAM ? 0 : read;
+      if (read >= END_OF_STREAM) {
+        readDelayNanos = readFailsSince == 0 ? 0 : System.nanoTime() - readFailsSince;
+        readFailsSince = 0;
+        return read;
+      }
     } catch (IOException e) {
-      if (FailureScope.of(e).passes()) {
-        return 0;
+      if (!FailureScope.of(e).passes()) {
+        throw e;
       }
-      throw e;
     }
+    readFailsSince = readFailsSince == 0 ? System.nanoTime() : readFailsSince;
+    return 0;
+  }
+
+  /** How long reading had failed before the last read that worked. */
+  final long readDelayNanos() {
+    return readDelayNanos;
   }
 
   @Override
