--- a/src/main/java/pumicekeel/rig/soak/SoakJudge.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakJudge.java
@@ -44,6 +44,7 @@
   static final long TOLD_SLACK_MILLIS = 150;
   /** From the note of a kill to the process's end, which another program has to be started for. */
   private static final long KILL_TAKES_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   private static final long GRACE_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final int OK = 200;
   private static final int TOO_MANY = 429;
