--- a/src/main/java/pumicekeel/front/http/ClientHandler.java
+++ b/src/main/java/pumicekeel/front/http/ClientHandler.java
@@ -92,6 +92,10 @@
   private long waited;
 
   private boolean cameBeforeOpening;
+  /** When the first byte of the request that comes was read. */
+  private long cameAt;
+
+  private Stood stood = Stood.ALL;
   private long restSince;
   private long restedAt;
 
@@ -126,7 +130,7 @@
 
   /** Nothing waits unread in its socket either. Asked right before a close: a request may have come while the loop was busy. */
   boolean atRest() {
-    return !side.unread(ctx.channel());
+    return side.pending(ctx.channel()) != Sockets.Pending.SOME;
   }
 
   /** No whole request has come that has no answer yet, and no last answer is on its way out. */
@@ -246,15 +250,40 @@
   private void noteWaiting() {
     if (times.neverAnswered()) {
       long since = times.idleFor(now());
-      boolean stood = cameBeforeOpening || since < JUST_OPENED_NANOS + side.behindNanos();
-      waited = stood ? waited + since : 0;
+      boolean stoodBefore = cameBeforeOpening || since < JUST_OPENED_NANOS + side.behindNanos();
+      waited = stoodBefore ? waited + since : 0;
     } else if (restedAt != 0 && now() - restedAt < JUST_RESTED_NANOS) {
       waited = restedAt - restSince;
     }
     restedAt = 0;
+    cameAt = now();
+    stood = Stood.ALL;
     waited = Math.max(waited, side.behindNanos() + side.readDelayNanos(ctx.channel()));
   }
 
+  /** What was not read of a request that is not whole may have stood there as long as what was. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (phase == Phase.COMING && stood != Stood.NOT) {
+      stood = switch (side.pending(context.channel())) {
+        case NONE -> Stood.NOT;
+        case SOME -> stood;
+        case UNKNOWN -> Stood.UNKNOWN;
+      };
+    }
+    context.fireChannelReadComplete();
+  }
+
+  /** How long the last byte of a request that is whole now may have waited in line and in its socket. */
+  private long waitedNanos() {
+    long inSocket = switch (stood) {
+      case ALL -> waited + now() - cameAt;
+      case UNKNOWN -> waited;
+      case NOT -> 0;
+    };
+    return Math.max(inSocket, side.behindNanos());
+  }
+
   /** So many bytes came behind a request that still waits: it is the last one of its connection. */
   private void dropped(int bytes) {
     ends = true;
@@ -410,7 +439,7 @@
 
   /** A request with what is left of its time, of which its client may have spent some in line or while the loop was behind. */
   private ClientRequest inTime(ClientRequest request) {
-    long spent = Math.max(waited, side.behindNanos());
+    long spent = waitedNanos();
     return spent > 0 ? request.withLeft(request.leftNanos() - spent) : request;
   }
 
@@ -559,6 +588,16 @@
     return phase != Phase.TAKEN || dropUnread(MOST_DROPPED_BEFORE_ATTEMPT) == Unread.NONE;
   }
 
+  /** Whether the rest of a request may have stood in its socket while its beginning was read. */
+  private enum Stood {
+    /** It never was seen empty since. */
+    ALL,
+    /** Nobody can tell. */
+    UNKNOWN,
+    /** It was: what came later has not waited since. */
+    NOT
+  }
+
   /** What stands in a client's socket behind the request that is taken. */
   private enum Unread {
     NONE,
--- a/src/main/java/pumicekeel/front/http/ClientSide.java
+++ b/src/main/java/pumicekeel/front/http/ClientSide.java
@@ -182,8 +182,8 @@
   }
 
   /** Whether something of a client waits unread: its next request may cross its connection's end. */
-  boolean unread(Channel channel) {
-    return on.sockets().unread(channel);
+  Sockets.Pending pending(Channel channel) {
+    return on.sockets().pending(channel);
   }
 
   /** How long reading what came last had failed before. */
@@ -244,7 +244,9 @@
     long waitedNanos = on.sockets().waitedNanos(channel);
     connections.add(handler);
     accepts.accepted();
-    handler.opened(Math.max(waitedInLine(now), lag.behindNanos()) + waitedNanos, unread(channel));
+    handler.opened(
+        Math.max(waitedInLine(now), lag.behindNanos()) + waitedNanos,
+        pending(channel) == Sockets.Pending.SOME);
     if (connections.size() >= accepts.limit()) {
       connections.stream()
           .filter(c -> c != handler && c.idle() && !c.neverAsked() && c.atRest())
--- a/src/main/java/pumicekeel/rig/soak/BalancerProcess.java
+++ b/src/main/java/pumicekeel/rig/soak/BalancerProcess.java
@@ -31,6 +31,7 @@
   private final List<String> timed = Collections.synchronizedList(new ArrayList<>());
   private final CountDownLatch serving = new CountDownLatch(1);
   private final Thread reader;
+  private final Thread endWithThis;
   private volatile InetSocketAddress address;
 
   /** Starts one with a configuration file, and an operator file unless that is null. */
@@ -48,6 +49,9 @@
     builder.environment().put("PROXY_CONFIG", configuration.toString());
     faults.into(builder.environment());
     process = builder.start();
+    // None is left behind where this program is ended in the middle of a run.
+    endWithThis = new Thread(process::destroyForcibly);
+    Runtime.getRuntime().addShutdownHook(endWithThis);
     reader = new Thread(this::read, name + " log");
     reader.setDaemon(true);
     reader.start();
@@ -151,6 +155,13 @@
     process.destroyForcibly();
     try {
       process.waitFor();
+      Runtime.getRuntime().removeShutdownHook(endWithThis);
+    } catch (IllegalStateException e) {
+      // This program ends already.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    try {
       reader.join(TimeUnit.SECONDS.toMillis(5));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/src/main/java/pumicekeel/runtime/NioSockets.java
+++ b/src/main/java/pumicekeel/runtime/NioSockets.java
@@ -44,8 +44,8 @@
   }
 
   @Override
-  public boolean unread(Channel channel) {
-    return channel instanceof Accepted accepted && accepted.unread();
+  public Pending pending(Channel channel) {
+    return channel instanceof TolerantSocketChannel tolerant ? tolerant.pending() : Pending.UNKNOWN;
   }
 
   @Override
@@ -73,15 +73,6 @@
       this.acceptedAt = acceptedAt;
     }
 
-    private boolean unread() {
-      JdkSockets jdk = JdkSockets.get();
-      try {
-        return jdk != null && isOpen() && jdk.waits(javaChannel());
-      } catch (IOException e) {
-        return false;
-      }
-    }
-
     private int drop(int most) {
       ByteBuffer bytes = ByteBuffer.allocate(DROP_BYTES);
       int dropped = 0;
--- a/src/main/java/pumicekeel/runtime/Sockets.java
+++ b/src/main/java/pumicekeel/runtime/Sockets.java
@@ -32,9 +32,16 @@
    */
   int drop(Channel channel, int most);
 
-  /** Whether bytes or an end wait unread on one that {@link #listening} accepted; false also where nobody can tell. */
-  default boolean unread(Channel accepted) {
-    return false;
+  /** What is known of bytes, or an end, that wait unread. */
+  enum Pending {
+    NONE,
+    SOME,
+    UNKNOWN
+  }
+
+  /** Whether bytes or an end wait unread on one that {@link #listening} accepted. */
+  default Pending pending(Channel accepted) {
+    return Pending.UNKNOWN;
   }
 
   /** How long reading what was read last had failed before, in nanoseconds; 0 where it worked at once. */
--- a/src/main/java/pumicekeel/runtime/TolerantSocketChannel.java
+++ b/src/main/java/pumicekeel/runtime/TolerantSocketChannel.java
@@ -25,6 +25,8 @@
   private static final int MOST_OPTION_TRIES = 500;
   /** Reads of the program's own that are tried at once; where all fail, nothing is known. */
   private static final int READ_TRIES = 16;
+  /** A look that was interrupted sees nothing. */
+  private static final int LOOKS = 2;
 
   /** Since when reading fails; 0 where the last read worked. */
   private long readFailsSince;
@@ -43,7 +45,8 @@
   protected int doReadBytes(ByteBuf into) throws Exception {
     try {
       int read = super.doReadBytes(into);
-      if (read >= END_OF_STREAM) {
+      // Called where the socket is readable: nothing read is a failure, too.
+      if (read > 0 || read == END_OF_STREAM) {
         readDelayNanos = readFailsSince == 0 ? 0 : System.nanoTime() - readFailsSince;
         readFailsSince = 0;
         return read;
@@ -116,6 +119,24 @@
     }
   }
 
+  /** Whether bytes or an end wait unread. */
+  final Sockets.Pending pending() {
+    JdkSockets jdk = JdkSockets.get();
+    if (jdk == null || !isOpen()) {
+      return Sockets.Pending.UNKNOWN;
+    }
+    try {
+      for (int i = 0; i < LOOKS; i++) {
+        if (jdk.waits(javaChannel())) {
+          return Sockets.Pending.SOME;
+        }
+      }
+      return Sockets.Pending.NONE;
+    } catch (IOException e) {
+      return Sockets.Pending.UNKNOWN;
+    }
+  }
+
   /**
    * Reads past Netty: how many bytes, 0 for none at this moment, -1 for the end of the stream.
    *
@@ -126,7 +147,7 @@
     for (int i = 0; i < READ_TRIES; i++) {
       try {
         int read = javaChannel().read(into);
-        if (read >= END_OF_STREAM) {
+        if (read > 0 || read == END_OF_STREAM || read == 0 && pending() != Sockets.Pending.SOME) {
           return read;
         }
       } catch (IOException e) {
