--- a/src/main/java/pumicekeel/rig/soak/BalancerProcess.java
+++ b/src/main/java/pumicekeel/rig/soak/BalancerProcess.java
@@ -116,6 +116,11 @@
     }
   }
 
+  /** The process's number. */
+  long pid() {
+    return process.pid();
+  }
+
   /** Whether it runs. */
   public boolean runs() {
     return process.isAlive();
--- a/src/main/java/pumicekeel/rig/soak/SoakBalancer.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakBalancer.java
@@ -80,6 +80,7 @@
   void start() throws IOException {
     write();
     process = new BalancerProcess(name, files.resolve("config.json"), operator(), faults, run.log);
+    run.waits.watch(name + "c", process.pid());
   }
 
   void awaitServing() throws IOException, InterruptedException {
@@ -142,6 +143,7 @@
     process.close();
     earlierLines.addAll(process.timedLines());
     process = new BalancerProcess(name, files.resolve("config.json"), operator(), faults, run.log);
+    run.waits.watch(name + "c", process.pid());
     try {
       process.awaitServing();
       clients.openNew(true);
--- a/src/main/java/pumicekeel/rig/soak/SoakClients.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakClients.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -100,6 +101,7 @@
             @Override
             protected void initChannel(Channel channel) {
               crowd.add(channel);
+              channel.pipeline().addLast(new Silent());
               channel.closeFuture().addListener(closed -> crowd.remove(channel));
             }
           })
@@ -178,6 +180,14 @@
         .syncUninterruptibly();
   }
 
+  /** One that says nothing, whatever comes. */
+  private static final class Silent extends ChannelInboundHandlerAdapter {
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+
   private record Request(String id, RequestClass type, long leftMillis, boolean leaves) {
     private String text() {
       boolean get = type.effect() == Effect.SAFE;
--- a/src/main/java/pumicekeel/rig/soak/SoakRun.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakRun.java
@@ -78,6 +78,7 @@
   final List<SoakJudge.Killed> killed = new CopyOnWriteArrayList<>();
   final List<String> problems = new CopyOnWriteArrayList<>();
   final AtomicLong ownLag = new AtomicLong();
+  final ProcessorWaits waits = new ProcessorWaits();
   StandInDiscovery discovery;
   Path folder;
   private final Map<CallKind, Long> injected = new EnumMap<>(CallKind.class);
@@ -208,7 +209,7 @@
             cold,
             killed,
             plan.has(Disturbance.CROWD),
-            ownLag.get())
+            (clients, from, to) -> ownLag.get() + waits.between(clients, from, to))
         .judge();
     Map<Integer, Integer> answers = new HashMap<>();
     int requests = 0;
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcAttempt.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcAttempt.java
@@ -68,7 +68,9 @@
         && connection.keptAndSilent(id, framesThen)
         && sinceSent() < STALE_NANOS;
     if (how == Status.TIMEOUT || how == Status.CANCELLED) {
-      connection.giveUp(this, how == Status.TIMEOUT);
+      // By what came since it was sent, not by a clock: its time-out began before its connection
+      // did.
+      connection.giveUp(this, how == Status.TIMEOUT && connection.frames() == framesThen);
     }
   }
 }
--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
@@ -67,7 +67,6 @@
   private Channel channel;
   private long lastId;
   private long frames;
-  private long heardAt;
   private long idleSince;
   private ScheduledFuture<?> stalled;
   private ScheduledFuture<?> stuck;
@@ -79,8 +78,7 @@
   RpcConnection(RpcLink link, ServerSettings settings, Reactor on) {
     this.link = link;
     this.on = on;
-    heardAt = on.clock().now();
-    idleSince = heardAt;
+    idleSince = on.clock().now();
     this.settings = settings;
     decoder = new FrameDecoder(settings.framing(), LIMITS, () -> true);
   }
@@ -253,8 +251,8 @@
     }
   }
 
-  /** A call is not waited for any more; where it timed out and nothing came since it was sent, no new one goes out here. */
-  void giveUp(RpcAttempt attempt, boolean timedOut) {
+  /** A call is not waited for any more; where nothing came in all its time ({@code silent}), no new one goes out here. */
+  void giveUp(RpcAttempt attempt, boolean silent) {
     if (closed) {
       return;
     }
@@ -297,7 +295,6 @@
       return;
     }
     frames++;
-    heardAt = on.clock().now();
     if (!(frame instanceof Frame.Whole whole)) {
       broken("what it says is no message: " + ((Frame.Fault) frame).why());
       return;
