--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
@@ -273,9 +273,7 @@
     }
     lapsed.add(id);
     becameIdle();
-    // By its sending, not by its time-out: that began before the connection was made, or ran while
-    // the loop was late.
-    if (timedOut && heardAt - attempt.sentAt() <= 0) {
+    if (silent) {
       retire();
     }
     closeIfRetired();
