--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -124,7 +124,7 @@
 
   private void round() {
     if (sent >= REQUESTS || clock.now() > endAt) {
-      clients.forEach(EmbeddedChannel::close);
+      clients.forEach(EmbeddedChannel::finishAndReleaseAll);
       pool.close();
       Log.line("warmed up with " + sent + " requests");
       done.run();
