--- a/src/main/java/pumicekeel/runtime/LogWriter.java
+++ b/src/main/java/pumicekeel/runtime/LogWriter.java
@@ -64,11 +64,12 @@
       while (true) {
         String line = waiting.take();
         PrintStream out = to.get();
-        long missing = leftOut.getAndSet(0);
+        out.println(line);
+        // Behind those that had room.
+        long missing = waiting.isEmpty() ? leftOut.getAndSet(0) : 0;
         if (missing > 0) {
           out.println("log: " + missing + " lines left out");
         }
-        out.println(line);
         written.incrementAndGet();
       }
     } catch (InterruptedException e) {
