--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f review/standin-2/classes/Stoppers.class ] && [ -f target/pumicekeel.jar ] || exit 2
+[ -f review/standin-2/classes/SilentThenDown.class ] && [ -f target/pumicekeel.jar ] || exit 2
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
 trap 'rm -rf "$CASE_TMP"' EXIT
-java -cp review/standin-2/classes Stoppers review/9 &
+java -cp review/standin-2/classes SilentThenDown review/9 &
 driver=$!
 trap 'kill "$driver"' INT TERM
 wait "$driver"
