--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -566,9 +566,14 @@
             write200(s, discovery.whole());
             return;
           }
-          sleep(waitMs);
-          refuse(s);
-          return;
+          for (double end = ms() + waitMs; ms() < end && mode == Discovery.Mode.CROWDED; ) {
+            sleep(10);
+          }
+          if (mode == Discovery.Mode.CROWDED) {
+            refuse(s);
+            return;
+          }
+          // The crowd is over: a call that still waits is answered.
         }
         if (!call.first.contains("watch=1")) {
           String whole = discovery.whole();
