Log what reports between balancers confirm, and since when changes may be missed

- DepartureExchange.pollLogLines: a line for each report sent (the versions covered, the version asked for) and received (whether it confirms the list here).
- ListCurrency.stateChangeLine: since when a change may have been missed, and the evidence for an outage, at each change of state.

--- a/src/main/java/pumicekeel/discovery/DepartureExchange.java
+++ b/src/main/java/pumicekeel/discovery/DepartureExchange.java
@@ -106,6 +106,8 @@
   private long reportsSent;
   private long queriesReceived;
   private long reportsReceived;
+  /** Reports sent and received that are still to be logged. */
+  private final List<String> logLines = new ArrayList<>();
 
   /** Creates the exchange of one balancer in a tier of {@code size}; {@code currency} belongs to its list. */
   public DepartureExchange(ListCurrency currency, int size, long seed) {
@@ -246,7 +248,9 @@
         replyAt = NEVER;
       }
     }
-    if (message.from() <= knownVersion && message.to() >= knownVersion) {
+    boolean covers = message.from() <= knownVersion && message.to() >= knownVersion;
+    logReceived(from, message, covers);
+    if (covers) {
       knownVersion = message.to();
       currency.confirmedByPeer(
           now - TimeUnit.MILLISECONDS.toNanos(message.ageMillis()) - MAX_DELIVERY_NANOS);
@@ -254,6 +258,20 @@
     return newlyDeparted;
   }
 
+  private void logReceived(int from, DepartureMessage message, boolean covers) {
+    logLines.add("report of balancer " + from + " from version " + message.from() + " to "
+        + message.to() + ", " + message.ageMillis() + " ms old, "
+        + (covers ? "confirms" : "does not confirm") + " list " + listVersion + ", known to "
+        + knownVersion);
+  }
+
+  /** Returns a line for the log for each report sent or received since the last call. */
+  public List<String> pollLogLines() {
+    List<String> lines = List.copyOf(logLines);
+    logLines.clear();
+    return lines;
+  }
+
   /** Records the departure of one upstream; returns whether it was unknown. An older report changes nothing. */
   private boolean recordDeparture(DepartureMessage.Departure departure, long to, long now) {
     ReportedDeparture before = reportedDepartures.get(departure.id());
@@ -348,6 +366,8 @@
     DepartureMessage.report(from, listVersion, age, departures).forEach(m -> out.add(m.encode()));
     sharedVersion = Math.max(sharedVersion, listVersion);
     reportsSent++;
+    logLines.add("reports " + departures.size() + " changes from version " + from + " to "
+        + listVersion + ", asked for those after " + afterVersion);
   }
 
   private void appendQueryIfDue(long now, List<byte[]> out) {
--- a/src/main/java/pumicekeel/discovery/ListCurrency.java
+++ b/src/main/java/pumicekeel/discovery/ListCurrency.java
@@ -223,12 +223,20 @@
       return null;
     }
     String line = state + " for " + millis(now - stateSince) + " ms, now " + next + ", age "
-        + millis(age(now)) + " ms" + (next == State.OUTAGE ? ", " + outageEvidence(now) : "");
+        + millis(age(now)) + " ms, " + evidenceLine(now);
     state = next;
     stateSince = now;
     return line;
   }
 
+  /** Returns from when on a change may have been missed, and what is known of an outage. */
+  private String evidenceLine(long now) {
+    long missedSince = Math.max(asOf, unreachableAt);
+    String evidence = outageEvidence(now);
+    return "changes may be missed since " + millis(now - missedSince) + " ms ago, "
+        + (evidence == null ? "no outage" : evidence);
+  }
+
   private boolean outage(long now) {
     return outageEvidence(now) != null;
   }
--- a/src/main/java/pumicekeel/node/DepartureSharing.java
+++ b/src/main/java/pumicekeel/node/DepartureSharing.java
@@ -12,6 +12,7 @@
 import pumicekeel.peers.PeerAddresses;
 import pumicekeel.peers.PeerBroadcast;
 import pumicekeel.runtime.Clock;
+import pumicekeel.runtime.Log;
 import pumicekeel.runtime.Reactor;
 
 /** Connects the departure exchange to the platform's discovery list and to the datagrams between balancers. Event loop only. */
@@ -69,6 +70,7 @@
     if (!departed.isEmpty()) {
       source.markDeparted(departed);
     }
+    logReports();
     scheduleTick();
   }
 
@@ -95,10 +97,15 @@
     if (peers.isOpen()) {
       peers.send(exchange.tick(clock.now()));
       source.markReturned(exchange.pollReturned(clock.now()));
+      logReports();
     }
     scheduleTick();
   }
 
+  private void logReports() {
+    exchange.pollLogLines().forEach(line -> Log.rateLimited("departures: " + line));
+  }
+
   /** Returns the state of the exchange for the operators' call {@code list}. */
   String line() {
     return exchange == null ? "" : "; " + exchange.statusLine();
