--- a/src/main/java/pumicekeel/discovery/DepartureExchange.java
+++ b/src/main/java/pumicekeel/discovery/DepartureExchange.java
@@ -227,7 +227,9 @@
 
   private Set<Long> receiveReport(int from, DepartureMessage message, long now) {
     reportsReceived++;
-    currency.peerReported(now);
+    long senderContactAt =
+        now - TimeUnit.MILLISECONDS.toNanos(message.ageMillis()) - MAX_DELIVERY_NANOS;
+    currency.peerReported(senderContactAt);
     Set<Long> newlyDeparted = new LinkedHashSet<>();
     if (message.to() > listVersion && reportedDepartures.size() < MAX_REPORTED_DEPARTURES) {
       for (DepartureMessage.Departure departure : message.departures()) {
@@ -252,8 +254,7 @@
     logReceived(from, message, covers);
     if (covers) {
       knownVersion = message.to();
-      currency.confirmedByPeer(
-          now - TimeUnit.MILLISECONDS.toNanos(message.ageMillis()) - MAX_DELIVERY_NANOS);
+      currency.confirmedByPeer(senderContactAt);
     }
     return newlyDeparted;
   }
--- a/src/main/java/pumicekeel/discovery/ListCurrency.java
+++ b/src/main/java/pumicekeel/discovery/ListCurrency.java
@@ -10,14 +10,8 @@
  * to a departed upstream may be sent for the drain grace beyond. After both, a list that shows no departure proves nothing, unless
  * discovery cannot be reached: then nothing counts as announced.
  *
- * <p>A failed call does not distinguish an outage from overload: a service that is down and one that is crowded both answer 503. The
- * following evidence is weighed, in this order: no outage if a response arrived in part or another balancer has a newer list, or if calls
- * could not be made and then one was queued; an outage if other balancers query as well; no outage if a call was accepted and then not
- * answered; an outage if calls cannot be made, so many in a row that a service which answers three in ten would have answered one; an
- * outage, for a while, if discovery has ended a working watch and answered nothing since. Otherwise the list is outdated.
- *
- * <p>What an outage has proved stays true after it: nothing counts as announced while discovery could not be reached, so that the 6 s run
- * from the last call that showed it, {@link #unreachableAt}.
+ * <p>{@link OutageEvidence} tells an outage of a polled discovery from overload. What an outage has proved stays true after it: nothing
+ * counts as announced while discovery could not be reached, so that the 6 s run from the last call that showed it.
  */
 public final class ListCurrency {
 
@@ -41,16 +35,8 @@
   private static final long HEARTBEAT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private static final long MAX_CURRENT_AGE_NANOS = HEARTBEAT_NANOS + HEARTBEAT_NANOS / 2;
-  /** A service that answers three calls in ten fails this many in a row one time in three hundred. */
-  private static final int OUTAGE_FAILURES = 16;
-  /** This many connects in a row without an answer are equivalent: the kernel has retransmitted each. */
-  private static final int OUTAGE_UNCONNECTED = 4;
-  /** Evidence for or against an outage counts for this long. */
-  private static final long EVIDENCE_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(3);
-  /** Maximum duration of an outage that is presumed from the end of a watch alone. */
-  private static final long MAX_PRESUMED_OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(20);
-  /** A call that is queued after this many in a row could not be made shows that discovery is back. */
-  private static final int RETURN_FAILURES = 4;
+  /** An agent that failed in this way may have been told changes for this long. */
+  private static final long AGENT_EVIDENCE_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -61,18 +47,11 @@
   private boolean confirmedByPeer;
   private State state = State.CURRENT;
   private long stateSince;
-  private int consecutiveFailures;
-  private long partialAnswerAt = NEVER;
-  private long ignoredAt = NEVER;
-  private long notMadeAt = NEVER;
-  private long watchEndedAt = NEVER;
-  /** The start of the last call that proved an outage; nothing counted as announced by then. */
-  private long unreachableAt = NEVER;
-  /** Whether discovery was found to be back, though it has not answered with a list yet. */
-  private boolean returned;
-
-  private long peerQueriedAt = NEVER;
-  private long peerReportedAt = NEVER;
+  private final OutageEvidence evidence;
+  private long agentAnsweredInPartAt = NEVER;
+  private long agentNotCalledAt = NEVER;
+  /** Nothing counted as announced until then at a discovery that is no longer called. */
+  private long formerlyUnreachableUntil = NEVER;
 
   /**
    * Creates the state of a list that is current as of now, at start-up.
@@ -85,6 +64,7 @@
     this.graceNanos = graceNanos;
     asOf = now;
     stateSince = now;
+    evidence = new OutageEvidence(now);
   }
 
   /** Sets the drain grace. */
@@ -97,31 +77,27 @@
     asOf = Math.max(asOf, now);
     confirmedByPeer = false;
     lastContactAt = now;
-    forgetFailures();
+    forgetFailures(now);
   }
 
   /** Records that another balancer's report covers this list: departures up to that time are known. */
   public void confirmedByPeer(long peerAsOf) {
-    confirmedByPeer |= peerAsOf > asOf;
-    asOf = Math.max(asOf, peerAsOf);
+    if (peerAsOf > asOf) {
+      confirmedByPeer = true;
+      asOf = peerAsOf;
+      evidence.listConfirmed(peerAsOf);
+    }
   }
 
   /** Records the failure of a call that was started at a given time. */
   public void callFailed(CallFailure failure, long startedAt, long now) {
     switch (failure) {
-      case UNREACHABLE -> couldNotBeMade(1, startedAt);
-      case UNCONNECTED -> couldNotBeMade(OUTAGE_FAILURES / OUTAGE_UNCONNECTED, startedAt);
-      case TURNED_AWAY -> consecutiveFailures = 0;
-      case TURNED_AWAY_LATE -> {
-        returned |= consecutiveFailures >= RETURN_FAILURES;
-        consecutiveFailures = 0;
-      }
-      case CUT -> partialAnswerAt = now;
-      case IGNORED -> ignoredAt = now;
-      case NOT_MADE -> notMadeAt = now;
-      case ENDED -> watchEndedAt = now;
-      case SILENT -> {}
+      case ENDED -> evidence.watchEnded(now);
+      case CUT -> agentAnsweredInPartAt = now;
+      case NOT_MADE -> agentNotCalledAt = now;
+      default -> {}
     }
+    evidence.callFailed(failure, startedAt);
   }
 
   /**
@@ -130,36 +106,25 @@
    */
   public void discoveryMoved(long now) {
     if (!pushed && outage(now)) {
-      unreachableAt = now;
+      formerlyUnreachableUntil = now;
     }
-    forgetFailures();
-  }
-
-  private void forgetFailures() {
-    consecutiveFailures = 0;
-    partialAnswerAt = NEVER;
-    ignoredAt = NEVER;
-    notMadeAt = NEVER;
-    watchEndedAt = NEVER;
-    returned = false;
+    forgetFailures(now);
   }
 
-  private void couldNotBeMade(int weight, long startedAt) {
-    consecutiveFailures += weight;
-    if (consecutiveFailures >= OUTAGE_FAILURES) {
-      unreachableAt = startedAt;
-      returned = false;
-    }
+  private void forgetFailures(long now) {
+    agentAnsweredInPartAt = NEVER;
+    agentNotCalledAt = NEVER;
+    evidence.listComplete(now);
   }
 
   /** Records that another balancer queries for departures, since its list is old. */
   public void peerQueried(long now) {
-    peerQueriedAt = now;
+    evidence.peerQueried(now);
   }
 
-  /** Records that another balancer has a current list, whether or not its report covers this one. */
-  public void peerReported(long now) {
-    peerReportedAt = now;
+  /** Records that another balancer received data from discovery at a given time, whether or not its report covers this list. */
+  public void peerReported(long contactAt) {
+    evidence.peerContact(contactAt);
   }
 
   /** Returns the time up to which everything that discovery had is known here. */
@@ -184,7 +149,12 @@
 
   /** Returns until when requests may be sent by this list, unless discovery cannot be reached. */
   public long sendableUntil() {
-    return sendableFor(Math.max(asOf, unreachableAt));
+    return sendableFor(missedSince());
+  }
+
+  /** Returns from when on a change may have been missed. */
+  private long missedSince() {
+    return Math.max(asOf, Math.max(evidence.unreachableUntil(), formerlyUnreachableUntil));
   }
 
   /** Returns until when requests may be sent if no change was missed by this time. */
@@ -229,42 +199,23 @@
     return line;
   }
 
-  /** Returns from when on a change may have been missed, and what is known of an outage. */
   private String evidenceLine(long now) {
-    long missedSince = Math.max(asOf, unreachableAt);
-    String evidence = outageEvidence(now);
-    return "changes may be missed since " + millis(now - missedSince) + " ms ago, "
-        + (evidence == null ? "no outage" : evidence);
+    return "changes may be missed since " + millis(now - missedSince()) + " ms ago, "
+        + (pushed ? agentEvidence(now) : evidence.describe(now));
   }
 
   private boolean outage(long now) {
-    return outageEvidence(now) != null;
+    return pushed ? agentIsSilent(now) : evidence.outage(now) != null;
   }
 
-  /** Returns the evidence for an outage; null if there is none, or if there is evidence against one. */
-  private String outageEvidence(long now) {
-    if (pushed) {
-      // An agent that this process does not call, or that answers in part, may have been told.
-      boolean mayHaveBeenTold = now - notMadeAt < EVIDENCE_LIFETIME_NANOS
-          || now - partialAnswerAt < 2 * EVIDENCE_LIFETIME_NANOS;
-      return mayHaveBeenTold ? null : "the agent is silent";
-    }
-    boolean reached = now - partialAnswerAt < 2 * EVIDENCE_LIFETIME_NANOS
-        || now - peerReportedAt < EVIDENCE_LIFETIME_NANOS
-        || returned;
-    if (reached) {
-      return null;
-    }
-    if (now - peerQueriedAt < EVIDENCE_LIFETIME_NANOS) {
-      return "other balancers get no answer either";
-    }
-    if (now - ignoredAt < 2 * EVIDENCE_LIFETIME_NANOS) {
-      return null;
-    }
-    if (consecutiveFailures >= OUTAGE_FAILURES) {
-      return consecutiveFailures + " calls could not be made";
-    }
-    return now - watchEndedAt < MAX_PRESUMED_OUTAGE_NANOS ? "discovery ended the watch" : null;
+  private String agentEvidence(long now) {
+    return agentIsSilent(now) ? "outage: the agent is silent" : "the agent may have been told";
+  }
+
+  /** An agent that this process does not call, or that answers in part, may have been told. */
+  private boolean agentIsSilent(long now) {
+    return now - agentNotCalledAt >= AGENT_EVIDENCE_LIFETIME_NANOS
+        && now - agentAnsweredInPartAt >= 2 * AGENT_EVIDENCE_LIFETIME_NANOS;
   }
 
   private static long millis(long nanos) {
@@ -274,7 +225,7 @@
   /** Returns state and age in one line for operators. */
   public String statusLine(long now) {
     return state(now) + ", age " + millis(age(now)) + " ms, sendable for "
-        + millis(sendableNanosLeft(now)) + " ms, calls in a row that could not be made "
-        + consecutiveFailures;
+        + millis(sendableNanosLeft(now)) + " ms, calls that failed at once "
+        + evidence.failedAtOnce();
   }
 }
