Count a call as queued once it was seen to wait half a second

Cause: WatchCall took a failure within 1 s for one at once, so that a discovery that is back and lets calls wait 0.8 s still looked down (CallBackoff.QUEUED_REFUSAL_NANOS; the limit for answers was 0.5 s already). And the time was taken when the loop read the failure: a loop that is late by a second made a rejection at once look queued, which now would end service in an outage for good.

Change: one limit of 0.5 s for answers and rejections, and the wait counts up to the last time at which the loop ran and the call was still open.

Failing before: WatchCallTest.callThatWaitedHalfASecondWasQueued with the limit of 1 s, rejectionThatALateLoopReadWasNotQueued with the time of the read.

--- a/src/main/java/pumicekeel/discovery/CallBackoff.java
+++ b/src/main/java/pumicekeel/discovery/CallBackoff.java
@@ -26,12 +26,10 @@
   private static final long MAX_INFORMED_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(2);
   /** The remaining time should allow this many tries. */
   private static final int TARGET_TRIES = 16;
-  /** A call rejected after at least this time had waited in the service's queue. */
-  static final long QUEUED_REFUSAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+  /** A call that is answered or rejected after at least this time had waited in the service's queue. */
+  static final long QUEUED_CALL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   /** Rejections by a limit on queueing time take the same time, except for delays by busy event loops: up to a quarter more. */
   private static final double SAME_WAIT_FACTOR = 1.25;
-  /** A response that takes at least this long was queued behind others. */
-  private static final long CROWDED_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   /** Time, besides two responses, that a call may take until its list is in force. */
   private static final long REOPEN_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -73,7 +71,7 @@
 
   /** Returns whether calls are queued at the service. */
   boolean crowded() {
-    return refusedAfterWait || queuedRefusals > 0 || answerNanos >= CROWDED_ANSWER_NANOS;
+    return refusedAfterWait || queuedRefusals > 0 || answerNanos >= QUEUED_CALL_NANOS;
   }
 
   /**
--- a/src/main/java/pumicekeel/discovery/Discovery.java
+++ b/src/main/java/pumicekeel/discovery/Discovery.java
@@ -304,17 +304,23 @@
         checkTask.cancel(false);
       }
       long now = reactor.clock().now();
-      long stalls = call.stalledAt() > now ? call.stalledAt() : Long.MAX_VALUE;
-      long at = Math.min(stalls, call.givenUpAt());
+      long at = Math.min(
+          call.givenUpAt(),
+          Math.min(ifLater(call.stalledAt(), now), ifLater(call.queuedAt(), now)));
       checkTask =
           reactor.loop().schedule(this::checkProgress, Math.max(0, at - now), TimeUnit.NANOSECONDS);
     }
 
+    private static long ifLater(long at, long now) {
+      return at > now ? at : Long.MAX_VALUE;
+    }
+
     private void checkProgress() {
       long now = reactor.clock().now();
       if (!isOpen()) {
         return;
       }
+      call.stillOpen(now);
       if (now >= call.givenUpAt()) {
         finish("timed out", End.LIMIT);
         return;
--- a/src/main/java/pumicekeel/discovery/WatchCall.java
+++ b/src/main/java/pumicekeel/discovery/WatchCall.java
@@ -37,6 +37,9 @@
   private long progressAt;
   private long connectedAt;
   private long completeAt;
+  /** When the call was last seen to be open without a response. */
+  private long unansweredAt;
+
   private boolean receivedList;
 
   /** Starts a call; no second one is made in parallel while this one waits in the queue of a crowded service. */
@@ -46,6 +49,7 @@
     startedAt = now;
     phaseAt = now;
     progressAt = now;
+    unansweredAt = now;
   }
 
   /** Records that the connection is established and the request is written. */
@@ -54,6 +58,21 @@
     enter(Phase.WAITING, now);
   }
 
+  /**
+   * Records that the event loop ran and the call was still open. How long a call has waited is taken from here rather than from
+   * the time of its end, since a loop that is late reads a response long after it arrived.
+   */
+  void stillOpen(long now) {
+    if (phase == Phase.WAITING) {
+      unansweredAt = now;
+    }
+  }
+
+  /** Returns when the call, if it is not answered until then, has waited in the service's queue. */
+  long queuedAt() {
+    return phase == Phase.WAITING ? startedAt + CallBackoff.QUEUED_CALL_NANOS : Long.MAX_VALUE;
+  }
+
   /** Records that bytes of the response arrived. */
   void progress(boolean complete, long now) {
     progressAt = now;
@@ -118,7 +137,7 @@
   CallFailure failure(End end, long now) {
     return switch (phase) {
       case CONNECTING -> unconnectedFailure(end, now);
-      case WAITING -> unansweredFailure(end, now);
+      case WAITING -> unansweredFailure(end);
       case RECEIVING -> CallFailure.CUT;
       case LIVE -> end == End.LIMIT ? CallFailure.SILENT : CallFailure.ENDED;
     };
@@ -133,11 +152,11 @@
         : CallFailure.UNREACHABLE;
   }
 
-  private CallFailure unansweredFailure(End end, long now) {
+  private CallFailure unansweredFailure(End end) {
     if (end == End.LIMIT) {
       return CallFailure.IGNORED;
     }
-    if (elapsedNanos(now) >= CallBackoff.QUEUED_REFUSAL_NANOS) {
+    if (unansweredAt >= queuedAt()) {
       return CallFailure.TURNED_AWAY_LATE;
     }
     return end == End.ANSWERED ? CallFailure.TURNED_AWAY : CallFailure.UNREACHABLE;
