--- a/src/main/java/pumicekeel/discovery/DepartureExchange.java
+++ b/src/main/java/pumicekeel/discovery/DepartureExchange.java
@@ -3,13 +3,13 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -45,13 +45,15 @@
   /** Maximum number of departures kept from other balancers' reports. */
   private static final int MAX_REPORTED_DEPARTURES = 10_000;
 
+  /** Maximum number of versions that are answered in one go. */
+  private static final int MAX_QUERIED_VERSIONS = 8;
+  /** Up to this age of the list a query is left to another balancer with an older version. */
+  private static final long MAX_DEFERRED_QUERY_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   private static final long NEVER = Long.MAX_VALUE;
   /** Earlier than any reading of the clock, and far from an overflow. */
   private static final long IMMEDIATELY = Long.MIN_VALUE / 4;
 
-  /** Upstreams that a version of the list reported as away, and those that it reported as serving again. */
-  private record Changes(Set<Long> departed, Set<Long> returned, long listedAt) {}
-
   /**
    * A departure reported for one upstream: the version, when the report was received, and when another balancer's list reported the
    * return, {@link #NEVER} for not yet.
@@ -64,24 +66,35 @@
    */
   public record ReturnedUpstream(long id, long startedNanos) {}
 
-  /** The datagrams received so far of a report that consists of several. */
-  private record PartialReport(long from, long to, Set<Integer> receivedParts) {}
+  /** The datagrams received so far of one report that consists of several; all state the same age. */
+  private record PartialReport(
+      long from, long to, int ageMillis, int parts, Set<Integer> receivedParts) {
+
+    private static PartialReport of(DepartureMessage message) {
+      return new PartialReport(
+          message.from(), message.to(), message.ageMillis(), message.parts(), new HashSet<>());
+    }
+
+    private boolean includes(DepartureMessage message) {
+      return from == message.from()
+          && to == message.to()
+          && ageMillis == message.ageMillis()
+          && parts == message.parts();
+    }
+  }
 
   private final ListCurrency currency;
   private final SplittableRandom random;
   /** Steepness of the distribution of suppression delays: the larger the fleet, the fewer delays are short. */
   private final double delaySteepness;
 
-  /** Changes by the version that reported them. */
-  private final TreeMap<Long, Changes> history = new TreeMap<>();
+  private final DepartureHistory history = new DepartureHistory();
 
   private final Map<Long, ReportedDeparture> reportedDepartures = new HashMap<>();
   /** Returns reported by others that counted as announced: the upstream's ID, and when it returned. */
   private final Map<Long, Long> reportedReturns = new HashMap<>();
 
   private final Map<Integer, PartialReport> partialReports = new HashMap<>();
-  /** From this version on, all departures are in the history. */
-  private long historyFrom;
   /** Version of the own list. */
   private long listVersion;
 
@@ -100,7 +113,9 @@
   private long reportFrom;
   private boolean reportedByPeer;
   private long replyAt = NEVER;
-  private long replyFrom;
+  /** Versions from other balancers' queries that are still to be answered. */
+  private final NavigableSet<Long> queriedVersions = new TreeSet<>();
+
   private long queryAt = NEVER;
   private long queriesSent;
   private long reportsSent;
@@ -121,7 +136,7 @@
     listVersion = version;
     knownVersion = version;
     sharedVersion = version;
-    historyFrom = version;
+    history.restart(version);
     queryAt = IMMEDIATELY;
   }
 
@@ -140,25 +155,22 @@
   }
 
   /**
-   * Records that the own list has reached a version, in which some upstreams departed, or were away, and others serve again or for the
-   * first time. Returns the upstreams whose reported departure this version covers.
+   * Records that the own list has reached a version, by a snapshot or by changes to the previous one. Returns the upstreams whose
+   * reported departure this version covers.
    */
-  Set<Long> listUpdated(long version, Set<Long> departed, Set<Long> returned, long now) {
+  Set<Long> listUpdated(long version, boolean snapshot, HostTable.Changes changes, long now) {
     if (version < listVersion) {
       // The version count of another discovery service: what was known of the previous one does not
       // apply to it.
-      history.clear();
+      history.restart(version);
       reportAt = NEVER;
-      historyFrom = version;
       knownVersion = version;
       sharedVersion = version;
     }
     listVersion = version;
     knownVersion = Math.max(knownVersion, version);
-    if (!departed.isEmpty() || !returned.isEmpty()) {
-      history.put(version, new Changes(departed, returned, now));
-    }
-    if (!departed.isEmpty()) {
+    history.listUpdated(version, snapshot, changes, now);
+    if (!changes.departed().isEmpty()) {
       reportFrom = reportAt == NEVER ? sharedVersion : Math.min(reportFrom, sharedVersion);
       reportRound = 1;
       reportedByPeer = false;
@@ -200,7 +212,7 @@
     if (message == null) {
       return Set.of();
     }
-    if (message.kind() == DepartureMessage.Kind.ASK) {
+    if (message.kind() == DepartureMessage.Kind.QUERY) {
       receiveQuery(message, now);
       return Set.of();
     }
@@ -211,15 +223,22 @@
     queriesReceived++;
     currency.peerQueried(now);
     if (hasFreshList(now)) {
-      replyFrom = replyAt == NEVER ? message.from() : Math.min(replyFrom, message.from());
+      if (queriedVersions.size() < MAX_QUERIED_VERSIONS) {
+        queriedVersions.add(message.from());
+      }
       replyAt = Math.min(replyAt, now + suppressionDelay(REPLY_JITTER_NANOS));
-    } else if (message.from() <= knownVersion && queryAt != NEVER) {
-      // The reply to that query serves this balancer too.
+    } else if (queryAt != NEVER && replyServesThisToo(message, now)) {
       queryAt =
           Math.max(queryAt, now + QUERY_PERIOD_NANOS / 2 + suppressionDelay(QUERY_PERIOD_NANOS));
     }
   }
 
+  /** A reply to a query from an older version serves this balancer too, unless its sender's list skipped the version here. */
+  private boolean replyServesThisToo(DepartureMessage query, long now) {
+    return query.from() == knownVersion
+        || query.from() < knownVersion && currency.age(now) < MAX_DEFERRED_QUERY_AGE_NANOS;
+  }
+
   /** Returns whether data from discovery itself arrived recently. */
   private boolean hasFreshList(long now) {
     return now - currency.lastContactAt() <= STALE_LIST_AGE_NANOS;
@@ -242,15 +261,16 @@
       return newlyDeparted;
     }
     if (message.to() >= listVersion) {
-      reportedByPeer |= message.from() <= reportFrom;
-      if (message.from() <= sharedVersion) {
-        sharedVersion = Math.max(sharedVersion, message.to());
+      reportedByPeer |= message.covers(reportFrom);
+      if (message.covers(sharedVersion)) {
+        sharedVersion = message.to();
       }
-      if (replyAt != NEVER && message.from() <= replyFrom) {
+      queriedVersions.removeIf(message::covers);
+      if (queriedVersions.isEmpty()) {
         replyAt = NEVER;
       }
     }
-    boolean covers = message.from() <= knownVersion && message.to() >= knownVersion;
+    boolean covers = message.covers(knownVersion);
     logReceived(from, message, covers);
     if (covers) {
       knownVersion = message.to();
@@ -300,8 +320,8 @@
       return true;
     }
     PartialReport partial = partialReports.get(from);
-    if (partial == null || partial.from() != message.from() || partial.to() != message.to()) {
-      partial = new PartialReport(message.from(), message.to(), new HashSet<>());
+    if (partial == null || !partial.includes(message)) {
+      partial = PartialReport.of(message);
       partialReports.put(from, partial);
     }
     partial.receivedParts().add(message.part());
@@ -324,8 +344,9 @@
     if (now >= replyAt) {
       replyAt = NEVER;
       if (hasFreshList(now)) {
-        appendReport(replyFrom, now, out);
+        appendReplies(now, out);
       }
+      queriedVersions.clear();
     }
     appendQueryIfDue(now, out);
     return out;
@@ -343,32 +364,29 @@
     reportRound++;
   }
 
-  /** Appends a report of all departures after a version, as far as they are known. */
-  private void appendReport(long afterVersion, long now, List<byte[]> out) {
-    long from = Math.max(afterVersion, historyFrom);
-    Map<Long, Integer> changes = new LinkedHashMap<>();
-    for (long version : history.descendingKeySet()) {
-      Changes more = history.get(version);
-      boolean fits = changes.size() + more.departed().size() + more.returned().size()
-          <= DepartureMessage.MAX_PARTS * DepartureMessage.MAX_DEPARTURES;
-      if (version <= from || !fits) {
-        from = Math.max(from, version);
-        break;
+  /** Appends replies to all queries; one that covers every version from the oldest queried one on is enough. */
+  private void appendReplies(long now, List<byte[]> out) {
+    for (long version : queriedVersions) {
+      boolean coversLater = appendReport(version, now, out);
+      if (coversLater) {
+        return;
       }
-      int millis = (int) TimeUnit.NANOSECONDS.toMillis(now - more.listedAt());
-      more.returned().forEach(id -> changes.putIfAbsent(id, millis));
-      more.departed().forEach(id -> changes.putIfAbsent(id, DepartureMessage.AWAY));
     }
-    List<DepartureMessage.Departure> departures = new ArrayList<>();
-    changes.forEach((id, returned) -> departures.add(new DepartureMessage.Departure(id, returned)));
+  }
+
+  /** Appends a report of all departures after a version, as far as they are known; returns whether it covers later versions too. */
+  private boolean appendReport(long afterVersion, long now, List<byte[]> out) {
+    DepartureHistory.Report report = history.after(afterVersion, now);
     int age = (int) Math.min(
         Integer.MAX_VALUE,
         TimeUnit.NANOSECONDS.toMillis(Math.max(0, now - currency.lastContactAt())));
-    DepartureMessage.report(from, listVersion, age, departures).forEach(m -> out.add(m.encode()));
+    DepartureMessage.report(report.kind(), report.from(), listVersion, age, report.departures())
+        .forEach(m -> out.add(m.encode()));
     sharedVersion = Math.max(sharedVersion, listVersion);
     reportsSent++;
-    logLines.add("reports " + departures.size() + " changes from version " + from + " to "
-        + listVersion + ", asked for those after " + afterVersion);
+    logLines.add("reports " + report.departures().size() + " changes from version " + report.from()
+        + " to " + listVersion + ", " + report.kind() + ", asked for those after " + afterVersion);
+    return report.kind() == DepartureMessage.Kind.REPORT;
   }
 
   private void appendQueryIfDue(long now, List<byte[]> out) {
@@ -393,10 +411,7 @@
         .values()
         .removeIf(reported -> now - reported.receivedAt() > REPORT_RETENTION_NANOS);
     reportedReturns.values().removeIf(at -> now - at > HISTORY_RETENTION_NANOS);
-    while (!history.isEmpty()
-        && now - history.firstEntry().getValue().listedAt() > HISTORY_RETENTION_NANOS) {
-      historyFrom = Math.max(historyFrom, history.pollFirstEntry().getKey());
-    }
+    history.evict(now - HISTORY_RETENTION_NANOS);
   }
 
   /** Returns the exchange's state and counters in one line for operators. */
--- a/src/main/java/pumicekeel/discovery/DepartureMessage.java
+++ b/src/main/java/pumicekeel/discovery/DepartureMessage.java
@@ -9,7 +9,7 @@
  * 8, to 8, age in ms 4, part 1, parts 1, count 1, then 12 bytes for each upstream: its ID 8, and how many ms ago the sender's list
  * reported that it serves again 4, -1 if it does not.
  *
- * @param kind a query or a report
+ * @param kind a query, or what the report covers
  * @param from the version of the list after which departures are requested or reported
  * @param to the version up to which they are reported; 0 in a query
  * @param ageMillis time since the sender last received data from discovery; 0 in a query
@@ -26,10 +26,17 @@
   /** The upstream does not serve. */
   static final int AWAY = -1;
 
-  /** ASK is a query, TELL a report. */
+  /** The order is that of the numbers on the wire. */
   enum Kind {
-    ASK,
-    TELL
+    /** Asks for departures after a version. */
+    QUERY,
+    /** Reports all departures after any version from {@link #from} on. */
+    REPORT,
+    /**
+     * Reports all departures after version {@link #from} exactly. The sender's list skipped versions after that one: what
+     * joined and departed in between is missing here.
+     */
+    REPORT_AFTER_EXACT_VERSION
   }
 
   /** Maximum size of a datagram, a limit of the platform. */
@@ -49,22 +56,31 @@
   }
 
   static DepartureMessage query(long from) {
-    return new DepartureMessage(Kind.ASK, from, 0, 0, 0, 1, List.of());
+    return new DepartureMessage(Kind.QUERY, from, 0, 0, 0, 1, List.of());
   }
 
   /** Creates a report in as many datagrams as it needs. */
   static List<DepartureMessage> report(
-      long from, long to, int ageMillis, List<Departure> departures) {
+      Kind kind, long from, long to, int ageMillis, List<Departure> departures) {
     int parts = Math.max(1, (departures.size() + MAX_DEPARTURES - 1) / MAX_DEPARTURES);
     List<DepartureMessage> all = new ArrayList<>();
     for (int part = 0; part < parts; part++) {
       List<Departure> slice = departures.subList(
           part * MAX_DEPARTURES, Math.min(departures.size(), (part + 1) * MAX_DEPARTURES));
-      all.add(new DepartureMessage(Kind.TELL, from, to, ageMillis, part, parts, slice));
+      all.add(new DepartureMessage(kind, from, to, ageMillis, part, parts, slice));
     }
     return all;
   }
 
+  /** Returns whether this report has all departures after a version, up to {@link #to}. */
+  boolean covers(long version) {
+    return switch (kind) {
+      case QUERY -> false;
+      case REPORT -> from <= version && version <= to;
+      case REPORT_AFTER_EXACT_VERSION -> from == version && version <= to;
+    };
+  }
+
   byte[] encode() {
     ByteBuffer out = ByteBuffer.allocate(HEADER_BYTES + DEPARTURE_BYTES * departures.size());
     out.putShort(MAGIC)
--- a/src/main/java/pumicekeel/discovery/UpstreamSource.java
+++ b/src/main/java/pumicekeel/discovery/UpstreamSource.java
@@ -2,10 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import pumicekeel.Balancer.ListedUpstream;
 import pumicekeel.Balancer.State;
@@ -26,16 +24,12 @@
     void listChanged(HostList list);
   }
 
-  /** Two readings of one start time may differ by the precision of the clocks. */
-  private static final long SAME_START_TOLERANCE_NANOS = 1_000_000_000L;
-
   private final Set<Observer> observers = new LinkedHashSet<>();
-  private final Map<Long, HostList.Host> hosts = new LinkedHashMap<>();
+  private final HostTable hosts = new HostTable();
   private final Clock clock;
   private final ListCurrency currency;
   private Discovery discovery;
   private DepartureExchange exchange;
-  private long index;
   private long failureCount;
   /** Whether discovery has delivered the list since the start, or the list is fixed. */
   private boolean listReceived;
@@ -61,7 +55,7 @@
     ListCurrency currency =
         new ListCurrency(terms.pushed(), graceNanos, reactor.clock().now());
     UpstreamSource source = new UpstreamSource(reactor.clock(), currency);
-    source.merge(known, new LinkedHashSet<>(), new LinkedHashSet<>());
+    source.hosts.merge(known);
     source.discovery = new Discovery(
         reactor,
         address,
@@ -78,7 +72,7 @@
   public static UpstreamSource fixed(List<HostList.Host> hosts) {
     UpstreamSource source = new UpstreamSource(null, null);
     source.listReceived = true;
-    source.merge(new HostList(0, true, hosts), new LinkedHashSet<>(), new LinkedHashSet<>());
+    source.hosts.merge(new HostList(0, true, hosts));
     return source;
   }
 
@@ -95,7 +89,7 @@
   /** Shares departures with other balancers from now on. */
   public void shareDepartures(DepartureExchange departures) {
     exchange = departures;
-    departures.start(index);
+    departures.start(hosts.index());
   }
 
   /** Adds an observer and returns the full list as it stands. */
@@ -146,7 +140,7 @@
 
   /** Replaces a fixed list. */
   public void replace(List<HostList.Host> next) {
-    applyList(new HostList(index + 1, true, next));
+    applyList(new HostList(hosts.index() + 1, true, next));
   }
 
   /** Marks upstreams that departed according to other balancers: those that still serve by this list are presented as draining. */
@@ -157,9 +151,9 @@
         .map(UpstreamSource::draining)
         .toList();
     if (!leaving.isEmpty()) {
-      Log.line("discovery: list " + index + ", departed according to other balancers: "
+      Log.line("discovery: list " + hosts.index() + ", departed according to other balancers: "
           + String.join(" ", leaving.stream().map(HostList.Host::name).toList()));
-      notifyObservers(new HostList(index, false, leaving));
+      notifyObservers(new HostList(hosts.index(), false, leaving));
     }
   }
 
@@ -172,14 +166,14 @@
       HostList.Host host = hosts.get(upstream.id());
       if (host != null && host.listed().state() == State.READY) {
         HostList.Host cold = withStartTime(host, upstream.startedNanos());
-        hosts.put(upstream.id(), cold);
+        hosts.replace(cold);
         serving.add(cold);
       }
     }
     if (!serving.isEmpty()) {
-      Log.line("discovery: list " + index + ", returned according to other balancers: "
+      Log.line("discovery: list " + hosts.index() + ", returned according to other balancers: "
           + String.join(" ", serving.stream().map(HostList.Host::name).toList()));
-      notifyObservers(new HostList(index, false, serving));
+      notifyObservers(new HostList(hosts.index(), false, serving));
     }
   }
 
@@ -201,7 +195,7 @@
 
   private HostList snapshot() {
     return new HostList(
-        index, true, hosts.values().stream().map(this::applyPeerDepartures).toList());
+        hosts.index(), true, hosts.all().stream().map(this::applyPeerDepartures).toList());
   }
 
   private void applyList(HostList list) {
@@ -209,14 +203,12 @@
       checkSizeWith(list);
     }
     listReceived = true;
-    Set<Long> departed = new LinkedHashSet<>();
-    Set<Long> returned = new LinkedHashSet<>();
-    merge(list, departed, returned);
+    HostTable.Changes changes = hosts.merge(list);
     if (exchange == null) {
       notifyObservers(list);
       return;
     }
-    Set<Long> cleared = exchange.listUpdated(list.index(), departed, returned, clock.now());
+    Set<Long> cleared = exchange.listUpdated(list.index(), list.snapshot(), changes, clock.now());
     List<HostList.Host> visible =
         new ArrayList<>(list.hosts().stream().map(this::applyPeerDepartures).toList());
     if (!list.snapshot()) {
@@ -234,7 +226,7 @@
   private void checkSizeWith(HostList changes) {
     long added = changes.hosts().stream()
         .filter(host -> host.listed().state() != State.GONE)
-        .filter(host -> !hosts.containsKey(host.listed().upstream()))
+        .filter(host -> !hosts.contains(host.listed().upstream()))
         .count();
     HostList.checkSize((int) (hosts.size() + added));
   }
@@ -254,43 +246,4 @@
     return host.withListed(new ListedUpstream(
         l.upstream(), l.zone(), l.cell(), State.DRAINING, l.startedNanos(), l.weight()));
   }
-
-  /**
-   * Merges a list; adds upstreams that departed, or were away, since the previous list to {@code departed}, and those that serve since to
-   * {@code returned}.
-   */
-  private void merge(HostList list, Set<Long> departed, Set<Long> returned) {
-    Set<Long> absent =
-        list.snapshot() ? new LinkedHashSet<>(hosts.keySet()) : new LinkedHashSet<>();
-    for (HostList.Host host : list.hosts()) {
-      long id = host.listed().upstream();
-      HostList.Host before = hosts.get(id);
-      boolean ready = host.listed().state() == State.READY;
-      boolean hasDeparted = before != null && hasDeparted(before.listed(), host.listed());
-      if (hasDeparted) {
-        departed.add(id);
-      }
-      if (ready && (before == null || hasDeparted || before.listed().state() != State.READY)) {
-        returned.add(id);
-      }
-      absent.remove(id);
-      if (host.listed().state() == State.GONE) {
-        hosts.remove(id);
-      } else {
-        hosts.put(id, host);
-      }
-    }
-    for (long id : absent) {
-      if (hosts.remove(id).listed().state() == State.READY) {
-        departed.add(id);
-      }
-    }
-    index = list.index();
-  }
-
-  private static boolean hasDeparted(ListedUpstream before, ListedUpstream now) {
-    return before.state() == State.READY
-        && (now.state() != State.READY
-            || now.startedNanos() > before.startedNanos() + SAME_START_TOLERANCE_NANOS);
-  }
 }
--- a/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
+++ b/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import pumicekeel.discovery.DepartureMessage.Kind;
+import pumicekeel.discovery.HostTable.Changes;
 
 /** Fleets in virtual time whose datagrams are delayed, lost or repeated, driven by a seed. */
 class DepartureExchangeTest {
@@ -100,7 +102,7 @@
       loss = 0.3;
       until(3_000 * MS, first(30));
       for (int i = 0; i < 30; i++) {
-        members.get(i).exchange.listUpdated(9, Set.of(S1), Set.of(), now);
+        members.get(i).exchange.listUpdated(9, false, new Changes(Set.of(S1), Set.of()), now);
       }
       until(6_000 * MS, first(30));
       for (int i = 30; i < 100; i++) {
@@ -116,7 +118,7 @@
       fleet(3, 8, seed);
       loss = 0;
       members.get(0).currency.markCurrent(0);
-      members.get(0).exchange.listUpdated(9, Set.of(S1), Set.of(), now);
+      members.get(0).exchange.listUpdated(9, false, new Changes(Set.of(S1), Set.of()), now);
       until(5_000 * MS, 0);
       members.set(2, new Member(3, 8, seed));
       members.get(2).currency.confirmedByPeer(now);
@@ -133,7 +135,7 @@
       until(1_000 * MS, first(size));
       sent = 0;
       for (int i = 0; i < size; i++) {
-        members.get(i).exchange.listUpdated(9, Set.of(S1), Set.of(), now);
+        members.get(i).exchange.listUpdated(9, false, new Changes(Set.of(S1), Set.of()), now);
       }
       until(5_000 * MS, first(size));
       assertTrue(sent <= 20, "sent " + sent + " of " + size);
@@ -149,10 +151,10 @@
     fleet(2, 8, 1);
     loss = 0;
     members.get(0).currency.markCurrent(0);
-    members.get(0).exchange.listUpdated(9, Set.of(S1), Set.of(), now);
+    members.get(0).exchange.listUpdated(9, false, new Changes(Set.of(S1), Set.of()), now);
     until(2_000 * MS, 0);
     long returned = now;
-    members.get(0).exchange.listUpdated(13, Set.of(), Set.of(S1), now);
+    members.get(0).exchange.listUpdated(13, false, new Changes(Set.of(), Set.of(S1)), now);
     Member other = members.get(1);
     List<DepartureExchange.ReturnedUpstream> back = List.of();
     while (back.isEmpty() && now < 20_000 * MS) {
@@ -168,8 +170,8 @@
         "a returned upstream counts as cold");
     assertFalse(other.exchange.hasDeparted(S1));
     int millis = (int) ((now - returned) / MS);
-    for (DepartureMessage again :
-        DepartureMessage.report(8, 13, 0, List.of(new DepartureMessage.Departure(S1, millis)))) {
+    for (DepartureMessage again : DepartureMessage.report(
+        Kind.REPORT, 8, 13, 0, List.of(new DepartureMessage.Departure(S1, millis)))) {
       assertEquals(Set.of(), other.exchange.receive(0, again.encode(), now));
       assertFalse(
           other.exchange.hasDeparted(S1), "a repeated report marks no upstream as departed");
@@ -181,32 +183,72 @@
     fleet(2, 8, 1);
     loss = 0;
     members.get(0).currency.markCurrent(0);
-    members.get(0).exchange.listUpdated(9, Set.of(S1), Set.of(), now);
+    members.get(0).exchange.listUpdated(9, false, new Changes(Set.of(S1), Set.of()), now);
     until(2_000 * MS, 0);
-    members.get(0).exchange.listUpdated(13, Set.of(), Set.of(), now);
+    members.get(0).exchange.listUpdated(13, false, new Changes(Set.of(), Set.of()), now);
     until(4_000 * MS, 0);
     Member other = members.get(1);
     assertTrue(other.exchange.hasDeparted(S1));
     other.currency.markCurrent(now);
     assertEquals(
         Set.of(),
-        other.exchange.listUpdated(8, Set.of(), Set.of(), now),
+        other.exchange.listUpdated(8, false, new Changes(Set.of(), Set.of()), now),
         "an older list does not cover the report");
     assertTrue(other.exchange.hasDeparted(S1));
-    assertEquals(Set.of(S1), other.exchange.listUpdated(13, Set.of(), Set.of(), now));
+    assertEquals(
+        Set.of(S1), other.exchange.listUpdated(13, false, new Changes(Set.of(), Set.of()), now));
     assertFalse(other.exchange.hasDeparted(S1));
   }
 
+  /**
+   * Guards against sends by an old list: a restarted balancer, whose list skipped versions, confirmed a list from in between, though it
+   * did not know what had joined and departed meanwhile.
+   */
+  @Test
+  void listThatSkippedAVersionConfirmsNoListOfThatVersion() {
+    for (long seed = 1; seed <= 50; seed++) {
+      fleet(3, 8, seed);
+      loss = 0;
+      members.get(1).exchange.listUpdated(9, false, new Changes(Set.of(), Set.of(S1)), now);
+      until(5_000 * MS);
+      members.get(0).currency.markCurrent(now);
+      members.get(0).exchange.listUpdated(12, true, new Changes(Set.of(S1), Set.of()), now);
+      until(9_000 * MS, 0);
+      assertEquals(0, members.get(1).currency.asOf(), "version 9 was skipped, seed " + seed);
+      assertTrue(members.get(1).exchange.hasDeparted(S1), "what is known is told, seed " + seed);
+      assertTrue(members.get(2).currency.age(now) < 3_500 * MS, "version 8 was not, seed " + seed);
+    }
+  }
+
+  /** Guards against a list that is confirmed though a part of the report is lost: parts of two reports were taken for one. */
+  @Test
+  void partsOfTwoReportsMakeNoWholeReport() {
+    fleet(2, 8, 1);
+    List<DepartureMessage.Departure> many = new ArrayList<>();
+    for (long id = 1; id <= 25; id++) {
+      many.add(away(id));
+    }
+    DepartureMessage first =
+        DepartureMessage.report(Kind.REPORT, 8, 11, 300, many).get(0);
+    DepartureMessage second =
+        DepartureMessage.report(Kind.REPORT, 8, 11, 900, many).get(1);
+    members.get(1).exchange.receive(0, first.encode(), 5_000 * MS);
+    members.get(1).exchange.receive(0, second.encode(), 5_600 * MS);
+    assertEquals(0, members.get(1).currency.asOf());
+  }
+
   @Test
   void reportThatDoesNotReachBackConfirmsNothing() {
     fleet(2, 8, 1);
     ListCurrency currency = members.get(1).currency;
     DepartureExchange exchange = members.get(1).exchange;
-    byte[] after9 = DepartureMessage.report(9, 11, 0, List.of(away(S1))).get(0).encode();
+    byte[] after9 =
+        DepartureMessage.report(Kind.REPORT, 9, 11, 0, List.of(away(S1))).get(0).encode();
     assertEquals(Set.of(S1), exchange.receive(0, after9, 5_000 * MS));
     assertEquals(0, currency.asOf());
-    byte[] after8 =
-        DepartureMessage.report(8, 11, 500, List.of(away(S1))).get(0).encode();
+    byte[] after8 = DepartureMessage.report(Kind.REPORT, 8, 11, 500, List.of(away(S1)))
+        .get(0)
+        .encode();
     exchange.receive(0, after8, 5_000 * MS);
     assertEquals(4_400 * MS, currency.asOf());
   }
@@ -218,7 +260,7 @@
     for (long id = 1; id <= 45; id++) {
       many.add(away(id));
     }
-    List<DepartureMessage> parts = DepartureMessage.report(8, 11, 0, many);
+    List<DepartureMessage> parts = DepartureMessage.report(Kind.REPORT, 8, 11, 0, many);
     assertEquals(3, parts.size());
     ListCurrency currency = members.get(1).currency;
     for (int i : new int[] {2, 0, 0}) {
@@ -232,7 +274,8 @@
   @Test
   void invalidDatagramsAreDropped() {
     SplittableRandom noise = new SplittableRandom(1);
-    byte[] good = DepartureMessage.report(8, 9, 0, List.of(away(S1))).get(0).encode();
+    byte[] good =
+        DepartureMessage.report(Kind.REPORT, 8, 9, 0, List.of(away(S1))).get(0).encode();
     assertNull(DepartureMessage.decode(new byte[0]));
     assertNull(DepartureMessage.decode(Arrays.copyOf(good, good.length - 1)));
     assertNull(DepartureMessage.decode(Arrays.copyOf(good, good.length + 1)));
