Keep a reported departure until discovery has been heard for 30 s after it

Cause: DepartureExchange.evictExpired dropped a reported departure 30 s after the report, while further reports went on confirming the list from the version after it, so that a pool that is added then sends to an upstream that has left. And a report whose departures found no room (10,000 kept) still confirmed the list.

Change: a departure is dropped only once discovery itself has been heard 30 s after the report without its list reaching that version; a report that finds no room confirms nothing.

--- a/src/main/java/pumicekeel/discovery/DepartureExchange.java
+++ b/src/main/java/pumicekeel/discovery/DepartureExchange.java
@@ -23,8 +23,9 @@
  * version that is known here also confirms the list as of the time at which its sender last received data from discovery.
  *
  * <p>Reports and queries are broadcast after a random delay, and suppressed if an equal one was received meanwhile, so that their
- * number does not grow with the fleet. Each change is reported twice, against loss. A reported departure that no list covers within
- * {@link #REPORT_RETENTION_NANOS} is dropped: then the versions here are unrelated to those of its sender.
+ * number does not grow with the fleet. Each change is reported twice, against loss. A reported departure is kept until a list covers it.
+ * If discovery still sends older versions {@link #REPORT_RETENTION_NANOS} later, it is dropped: then the versions here are unrelated to
+ * those of its sender.
  */
 public final class DepartureExchange {
 
@@ -36,7 +37,7 @@
   private static final long STALE_LIST_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
   /** Maximum delivery time of a datagram; a later one counts as lost. */
   private static final long MAX_DELIVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-  /** Longer than the list is unavailable in any outage that must be survived. */
+  /** Far longer than one balancer can be ahead of another that discovery sends lists to. */
   private static final long REPORT_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
   /** Departures are reported for this long. */
   private static final long HISTORY_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(120);
@@ -250,7 +251,10 @@
         now - TimeUnit.MILLISECONDS.toNanos(message.ageMillis()) - MAX_DELIVERY_NANOS;
     currency.peerReported(senderContactAt);
     Set<Long> newlyDeparted = new LinkedHashSet<>();
-    if (message.to() > listVersion && reportedDepartures.size() < MAX_REPORTED_DEPARTURES) {
+    if (reportedDepartures.size() > MAX_REPORTED_DEPARTURES) {
+      return newlyDeparted;
+    }
+    if (message.to() > listVersion) {
       for (DepartureMessage.Departure departure : message.departures()) {
         if (recordDeparture(departure, message.to(), now)) {
           newlyDeparted.add(departure.id());
@@ -409,7 +413,8 @@
   private void evictExpired(long now) {
     reportedDepartures
         .values()
-        .removeIf(reported -> now - reported.receivedAt() > REPORT_RETENTION_NANOS);
+        .removeIf(
+            reported -> currency.lastContactAt() - reported.receivedAt() > REPORT_RETENTION_NANOS);
     reportedReturns.values().removeIf(at -> now - at > HISTORY_RETENTION_NANOS);
     history.evict(now - HISTORY_RETENTION_NANOS);
   }
--- a/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
+++ b/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
@@ -220,6 +220,48 @@
     }
   }
 
+  /** Guards against sends to a departed upstream: its departure was forgotten after 30 s, though the list was still confirmed. */
+  @Test
+  void departureIsKnownForAsLongAsReportsConfirmTheList() {
+    fleet(2, 8, 1);
+    loss = 0;
+    until(1_000 * MS, 0);
+    members.get(0).exchange.listUpdated(9, false, new Changes(Set.of(S1), Set.of()), now);
+    until(60_000 * MS, 0);
+    assertTrue(members.get(1).currency.age(now) < 3_500 * MS);
+    assertTrue(members.get(1).exchange.hasDeparted(S1));
+  }
+
+  /** Guards against an upstream that is left unused: a report of versions that are unrelated to those here is given up. */
+  @Test
+  void departureThatDiscoveryNeverConfirmsIsForgotten() {
+    fleet(2, 8, 1);
+    byte[] unrelated = DepartureMessage.report(Kind.REPORT, 900, 901, 0, List.of(away(S1)))
+        .get(0)
+        .encode();
+    members.get(1).exchange.receive(0, unrelated, now);
+    until(29_000 * MS, 1);
+    assertTrue(members.get(1).exchange.hasDeparted(S1));
+    until(31_000 * MS, 1);
+    assertFalse(members.get(1).exchange.hasDeparted(S1));
+  }
+
+  /** Guards against a list that is confirmed by a report whose departures there was no room for. */
+  @Test
+  void reportWithoutRoomForItsDeparturesConfirmsNothing() {
+    fleet(2, 8, 1);
+    for (int id = 0; id <= 10_000; id++) {
+      byte[] far = DepartureMessage.report(Kind.REPORT, 900, 901, 0, List.of(away(id)))
+          .get(0)
+          .encode();
+      members.get(1).exchange.receive(0, far, MS);
+    }
+    byte[] next =
+        DepartureMessage.report(Kind.REPORT, 8, 9, 0, List.of(away(-1))).get(0).encode();
+    members.get(1).exchange.receive(0, next, 5_000 * MS);
+    assertEquals(0, members.get(1).currency.asOf());
+  }
+
   /** Guards against a list that is confirmed though a part of the report is lost: parts of two reports were taken for one. */
   @Test
   void partsOfTwoReportsMakeNoWholeReport() {
