--- a/src/main/java/pumicekeel/discovery/DepartureExchange.java
+++ b/src/main/java/pumicekeel/discovery/DepartureExchange.java
@@ -211,7 +211,7 @@
     if (message == null) {
       return Set.of();
     }
-    if (message.kind() == DepartureMessage.Kind.QUERY) {
+    if (message.kind() == DepartureMessage.Kind.ASK) {
       receiveQuery(message, now);
       return Set.of();
     }
@@ -388,9 +388,11 @@
         .forEach(m -> out.add(m.encode()));
     sharedVersion = Math.max(sharedVersion, listVersion);
     reportsSent++;
-    logLines.add("reports " + report.departures().size() + " changes from version " + report.from()
-        + " to " + listVersion + ", " + report.kind() + ", asked for those after " + afterVersion);
-    return report.kind() == DepartureMessage.Kind.REPORT;
+    boolean coversLater = report.kind() == DepartureMessage.Kind.TELL;
+    logLines.add("reports " + report.departures().size() + " changes after version "
+        + report.from() + (coversLater ? " and any later one" : " exactly") + ", up to "
+        + listVersion + ", asked for those after " + afterVersion);
+    return coversLater;
   }
 
   private void appendQueryIfDue(long now, List<byte[]> out) {
--- a/src/main/java/pumicekeel/discovery/DepartureHistory.java
+++ b/src/main/java/pumicekeel/discovery/DepartureHistory.java
@@ -107,8 +107,6 @@
 
   private DepartureMessage.Kind kindFrom(long from) {
     boolean skipsLater = skips.ceilingKey(from) != null;
-    return skipsLater
-        ? DepartureMessage.Kind.REPORT_AFTER_EXACT_VERSION
-        : DepartureMessage.Kind.REPORT;
+    return skipsLater ? DepartureMessage.Kind.TELL_AFTER_EXACT_VERSION : DepartureMessage.Kind.TELL;
   }
 }
--- a/src/main/java/pumicekeel/discovery/DepartureMessage.java
+++ b/src/main/java/pumicekeel/discovery/DepartureMessage.java
@@ -29,14 +29,14 @@
   /** The order is that of the numbers on the wire. */
   enum Kind {
     /** Asks for departures after a version. */
-    QUERY,
+    ASK,
     /** Reports all departures after any version from {@link #from} on. */
-    REPORT,
+    TELL,
     /**
      * Reports all departures after version {@link #from} exactly. The sender's list skipped versions after that one: what
      * joined and departed in between is missing here.
      */
-    REPORT_AFTER_EXACT_VERSION
+    TELL_AFTER_EXACT_VERSION
   }
 
   /** Maximum size of a datagram, a limit of the platform. */
@@ -56,7 +56,7 @@
   }
 
   static DepartureMessage query(long from) {
-    return new DepartureMessage(Kind.QUERY, from, 0, 0, 0, 1, List.of());
+    return new DepartureMessage(Kind.ASK, from, 0, 0, 0, 1, List.of());
   }
 
   /** Creates a report in as many datagrams as it needs. */
@@ -75,9 +75,9 @@
   /** Returns whether this report has all departures after a version, up to {@link #to}. */
   boolean covers(long version) {
     return switch (kind) {
-      case QUERY -> false;
-      case REPORT -> from <= version && version <= to;
-      case REPORT_AFTER_EXACT_VERSION -> from == version && version <= to;
+      case ASK -> false;
+      case TELL -> from <= version && version <= to;
+      case TELL_AFTER_EXACT_VERSION -> from == version && version <= to;
     };
   }
 
--- a/src/main/java/pumicekeel/discovery/ListCurrency.java
+++ b/src/main/java/pumicekeel/discovery/ListCurrency.java
@@ -241,7 +241,7 @@
   /** Returns state and age in one line for operators. */
   public String statusLine(long now) {
     return state(now) + ", age " + millis(age(now)) + " ms, sendable for "
-        + millis(sendableNanosLeft(now)) + " ms, calls that failed at once "
+        + millis(sendableNanosLeft(now)) + " ms, calls in a row that could not be made "
         + evidence.failedAtOnce();
   }
 }
--- a/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
+++ b/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
@@ -171,7 +171,7 @@
     assertFalse(other.exchange.hasDeparted(S1));
     int millis = (int) ((now - returned) / MS);
     for (DepartureMessage again : DepartureMessage.report(
-        Kind.REPORT, 8, 13, 0, List.of(new DepartureMessage.Departure(S1, millis)))) {
+        Kind.TELL, 8, 13, 0, List.of(new DepartureMessage.Departure(S1, millis)))) {
       assertEquals(Set.of(), other.exchange.receive(0, again.encode(), now));
       assertFalse(
           other.exchange.hasDeparted(S1), "a repeated report marks no upstream as departed");
@@ -236,7 +236,7 @@
   @Test
   void departureThatDiscoveryNeverConfirmsIsForgotten() {
     fleet(2, 8, 1);
-    byte[] unrelated = DepartureMessage.report(Kind.REPORT, 900, 901, 0, List.of(away(S1)))
+    byte[] unrelated = DepartureMessage.report(Kind.TELL, 900, 901, 0, List.of(away(S1)))
         .get(0)
         .encode();
     members.get(1).exchange.receive(0, unrelated, now);
@@ -251,13 +251,13 @@
   void reportWithoutRoomForItsDeparturesConfirmsNothing() {
     fleet(2, 8, 1);
     for (int id = 0; id <= 10_000; id++) {
-      byte[] far = DepartureMessage.report(Kind.REPORT, 900, 901, 0, List.of(away(id)))
+      byte[] far = DepartureMessage.report(Kind.TELL, 900, 901, 0, List.of(away(id)))
           .get(0)
           .encode();
       members.get(1).exchange.receive(0, far, MS);
     }
     byte[] next =
-        DepartureMessage.report(Kind.REPORT, 8, 9, 0, List.of(away(-1))).get(0).encode();
+        DepartureMessage.report(Kind.TELL, 8, 9, 0, List.of(away(-1))).get(0).encode();
     members.get(1).exchange.receive(0, next, 5_000 * MS);
     assertEquals(0, members.get(1).currency.asOf());
   }
@@ -271,9 +271,9 @@
       many.add(away(id));
     }
     DepartureMessage first =
-        DepartureMessage.report(Kind.REPORT, 8, 11, 300, many).get(0);
+        DepartureMessage.report(Kind.TELL, 8, 11, 300, many).get(0);
     DepartureMessage second =
-        DepartureMessage.report(Kind.REPORT, 8, 11, 900, many).get(1);
+        DepartureMessage.report(Kind.TELL, 8, 11, 900, many).get(1);
     members.get(1).exchange.receive(0, first.encode(), 5_000 * MS);
     members.get(1).exchange.receive(0, second.encode(), 5_600 * MS);
     assertEquals(0, members.get(1).currency.asOf());
@@ -285,12 +285,11 @@
     ListCurrency currency = members.get(1).currency;
     DepartureExchange exchange = members.get(1).exchange;
     byte[] after9 =
-        DepartureMessage.report(Kind.REPORT, 9, 11, 0, List.of(away(S1))).get(0).encode();
+        DepartureMessage.report(Kind.TELL, 9, 11, 0, List.of(away(S1))).get(0).encode();
     assertEquals(Set.of(S1), exchange.receive(0, after9, 5_000 * MS));
     assertEquals(0, currency.asOf());
-    byte[] after8 = DepartureMessage.report(Kind.REPORT, 8, 11, 500, List.of(away(S1)))
-        .get(0)
-        .encode();
+    byte[] after8 =
+        DepartureMessage.report(Kind.TELL, 8, 11, 500, List.of(away(S1))).get(0).encode();
     exchange.receive(0, after8, 5_000 * MS);
     assertEquals(4_400 * MS, currency.asOf());
   }
@@ -302,7 +301,7 @@
     for (long id = 1; id <= 45; id++) {
       many.add(away(id));
     }
-    List<DepartureMessage> parts = DepartureMessage.report(Kind.REPORT, 8, 11, 0, many);
+    List<DepartureMessage> parts = DepartureMessage.report(Kind.TELL, 8, 11, 0, many);
     assertEquals(3, parts.size());
     ListCurrency currency = members.get(1).currency;
     for (int i : new int[] {2, 0, 0}) {
@@ -317,7 +316,7 @@
   void invalidDatagramsAreDropped() {
     SplittableRandom noise = new SplittableRandom(1);
     byte[] good =
-        DepartureMessage.report(Kind.REPORT, 8, 9, 0, List.of(away(S1))).get(0).encode();
+        DepartureMessage.report(Kind.TELL, 8, 9, 0, List.of(away(S1))).get(0).encode();
     assertNull(DepartureMessage.decode(new byte[0]));
     assertNull(DepartureMessage.decode(Arrays.copyOf(good, good.length - 1)));
     assertNull(DepartureMessage.decode(Arrays.copyOf(good, good.length + 1)));
