--- a/src/test/java/pumicekeel/discovery/ListCurrencyTest.java
+++ b/src/test/java/pumicekeel/discovery/ListCurrencyTest.java
@@ -282,6 +282,18 @@
     assertEquals(State.OUTAGE, new ListCurrency(true, GRACE, 0).state(60_000 * MS));
   }
 
+  /** Guards against sends by an old list: the watch had fallen silent while the agent still got changes. */
+  @Test
+  void pushedWatchThatFellSilentBeforeItsAgentExcusesNothing() {
+    ListCurrency pushed = new ListCurrency(true, GRACE, 0);
+    pushed.markCurrent(0);
+    pushed.callFailed(CallFailure.SILENT, 0, 3_000 * MS);
+    for (long at = 3_100; at < 7_000; at += 600) {
+      pushed.callFailed(CallFailure.IGNORED, at * MS, (at + 500) * MS);
+    }
+    assertEquals(State.OUTDATED, pushed.state(LAST_SEND));
+  }
+
   @Test
   void eachStateChangeIsLoggedOnce() {
     assertNull(currency.stateChangeLine(1_000 * MS));
