Take only queries of balancers whose list is old for a sign of an outage

Each balancer queries the others once at its start. The query counted for 3 s as "other balancers get no answer either", so that a restart beside a balancer that starves in a crowd let it send by an old list.

Cause: DepartureExchange.receiveQuery told ListCurrency.peerQueried of every query. Change: a query states the age of its sender's list, in the field that was 0 before, and counts from a missed heartbeat on. Queries of older builds state 0 and don't count: in a rolling upgrade amid an outage what remains is the end of the watch (20 s) and calls that fail at once.

--- a/src/main/java/pumicekeel/discovery/DepartureExchange.java
+++ b/src/main/java/pumicekeel/discovery/DepartureExchange.java
@@ -220,7 +220,9 @@
 
   private void receiveQuery(DepartureMessage message, long now) {
     queriesReceived++;
-    currency.peerQueried(now);
+    if (missesHeartbeat(message)) {
+      currency.peerQueried(now);
+    }
     if (hasFreshList(now)) {
       if (queriedVersions.size() < MAX_QUERIED_VERSIONS) {
         queriedVersions.add(message.from());
@@ -232,6 +234,12 @@
     }
   }
 
+  /** Each balancer queries once at its start; only a later query shows that its sender gets no answer from discovery. */
+  private static boolean missesHeartbeat(DepartureMessage query) {
+    long age = TimeUnit.MILLISECONDS.toNanos(query.ageMillis());
+    return age >= ListCurrency.MAX_HEARTBEAT_DELAY_NANOS;
+  }
+
   /** A reply to a query from an older version serves this balancer too, unless its sender's list skipped the version here. */
   private boolean replyServesThisToo(DepartureMessage query, long now) {
     return query.from() == knownVersion
@@ -381,9 +389,7 @@
   /** Appends a report of all departures after a version, as far as they are known; returns whether it covers later versions too. */
   private boolean appendReport(long afterVersion, long now, List<byte[]> out) {
     DepartureHistory.Report report = history.after(afterVersion, now);
-    int age = (int) Math.min(
-        Integer.MAX_VALUE,
-        TimeUnit.NANOSECONDS.toMillis(Math.max(0, now - currency.lastContactAt())));
+    int age = toMillis(now - currency.lastContactAt());
     DepartureMessage.report(report.kind(), report.from(), listVersion, age, report.departures())
         .forEach(m -> out.add(m.encode()));
     sharedVersion = Math.max(sharedVersion, listVersion);
@@ -395,6 +401,10 @@
     return coversLater;
   }
 
+  private static int toMillis(long nanos) {
+    return (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(Math.max(0, nanos)));
+  }
+
   private void appendQueryIfDue(long now, List<byte[]> out) {
     if (queryAt == NEVER && now - currency.asOf() > ListCurrency.MAX_HEARTBEAT_DELAY_NANOS) {
       queryAt = now + suppressionDelay(REPLY_JITTER_NANOS);
@@ -407,7 +417,7 @@
       queryAt = NEVER;
       return;
     }
-    out.add(DepartureMessage.query(knownVersion).encode());
+    out.add(DepartureMessage.query(knownVersion, toMillis(currency.age(now))).encode());
     queriesSent++;
     queryAt = now + QUERY_PERIOD_NANOS / 2 + suppressionDelay(QUERY_PERIOD_NANOS);
   }
--- a/src/main/java/pumicekeel/discovery/DepartureMessage.java
+++ b/src/main/java/pumicekeel/discovery/DepartureMessage.java
@@ -12,7 +12,7 @@
  * @param kind a query, or what the report covers
  * @param from the version of the list after which departures are requested or reported
  * @param to the version up to which they are reported; 0 in a query
- * @param ageMillis time since the sender last received data from discovery; 0 in a query
+ * @param ageMillis in a report the time since the sender last received data from discovery; in a query the age of its list
  * @param part index of this datagram within a report of several, from 0
  * @param parts number of datagrams of the report
  * @param departures upstreams that departed, or were away, in between
@@ -55,8 +55,8 @@
     departures = List.copyOf(departures);
   }
 
-  static DepartureMessage query(long from) {
-    return new DepartureMessage(Kind.ASK, from, 0, 0, 0, 1, List.of());
+  static DepartureMessage query(long from, int ageMillis) {
+    return new DepartureMessage(Kind.ASK, from, 0, ageMillis, 0, 1, List.of());
   }
 
   /** Creates a report in as many datagrams as it needs. */
--- a/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
+++ b/src/test/java/pumicekeel/discovery/DepartureExchangeTest.java
@@ -220,6 +220,19 @@
     }
   }
 
+  /** Guards against an outage by the query that each balancer sends at its start, whether or not discovery answers it. */
+  @Test
+  void queryAtTheStartOfABalancerIsNoSignOfAnOutage() {
+    fleet(2, 8, 1);
+    byte[] atStart = new Member(2, 8, 1).exchange.tick(TICK).get(0);
+    Member other = members.get(1);
+    other.exchange.receive(0, atStart, 9_000 * MS);
+    assertFalse(other.currency.sendable(9_000 * MS));
+    byte[] starving = DepartureMessage.query(8, 2_600).encode();
+    other.exchange.receive(0, starving, 9_000 * MS);
+    assertTrue(other.currency.sendable(9_000 * MS));
+  }
+
   /** Guards against sends to a departed upstream: its departure was forgotten after 30 s, though the list was still confirmed. */
   @Test
   void departureIsKnownForAsLongAsReportsConfirmTheList() {
