RpcConnectionTest: wait for the connection before its buffers are filled

Cause, in the test: calls that wait for the connect are written in one go when it is there, and make the channel unwritable (60 kB each, Netty's mark is 64 kB) until its flush, which is queued behind the next send. That send gets no connection, which the test took for full socket buffers; then the kernel takes all bytes, nothing is stuck, and no call ends. The trace: the first outcome came within 14 ms, none in the second after it, where a full buffer ends all calls after 150 to 300 ms (WRITE_TIMEOUT_MILLIS).

Change: the first call is written before the others are sent, by a condition. All assertions are as they were.

--- a/src/test/java/pumicekeel/upstream/jsonrpc/RpcConnectionTest.java
+++ b/src/test/java/pumicekeel/upstream/jsonrpc/RpcConnectionTest.java
@@ -127,6 +127,17 @@
     return outcomes.poll(30, TimeUnit.SECONDS);
   }
 
+  /**
+   * Waits until the connection is established and a call is written. Calls that wait for it are written together and make it
+   * unwritable before the socket buffers are full.
+   */
+  private void awaitWritten(UpstreamAttempt attempt) throws Exception {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    while (!loop.submit(attempt::mayHaveRun).get()) {
+      assertTrue(System.nanoTime() < deadline, "the first call is written");
+    }
+  }
+
   /**
    * The server reads nothing, so socket buffers fill up and the last call is written only in part. After the balancer closes
    * the connection, the calls that arrive completely must be exactly those reported as possibly run.
@@ -137,8 +148,10 @@
       UpstreamLink link = link(address(server));
       String text = "x".repeat(60_000);
       List<UpstreamAttempt> sent = new ArrayList<>();
+      sent.add(send(link, 0, text, true, LONG_NANOS));
+      awaitWritten(sent.get(0));
       // Until the connection accepts no more calls and one call gets no connection.
-      for (int i = 0; i < 900 && outcomes.isEmpty(); i++) {
+      for (int i = 1; i < 900 && outcomes.isEmpty(); i++) {
         sent.add(send(link, i, text, true, LONG_NANOS));
         loop.submit(() -> {}).sync();
       }
