Log why an answer is passed on or given up, and what was left out of the log

Change: 'is passed on, REASON' (not for answers that are simply large), the end of each attempt whose answer had begun, 'N of M bytes read, last byte written at most X ms ago' for uploads, a notice of the lines left out, and at a stop one line of counts: answers passed on by reason, how these ended, and how many were whole behind their client's time. No behaviour changes.

--- a/src/main/java/pumicekeel/call/Upload.java
+++ b/src/main/java/pumicekeel/call/Upload.java
@@ -46,6 +46,11 @@
     return progress == null ? 0 : progress.waitedNanos(now);
   }
 
+  /** Describes for the log how much was received, and since when its client may be waiting. */
+  public String describe(long now) {
+    return progress == null ? "no progress known" : progress.describe(now);
+  }
+
   /** Returns whether a part was sent that no further attempt could send again. */
   public boolean isConsumed() {
     return isConsumed;
--- a/src/main/java/pumicekeel/call/UploadProgress.java
+++ b/src/main/java/pumicekeel/call/UploadProgress.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decides whether the client of a streamed body may have written its last byte already, and when at the earliest: its time counts from
@@ -58,6 +59,13 @@
     return samples.isEmpty() ? 0 : now - Math.max(samples.peek().at(), emptyAt);
   }
 
+  /** Describes for the log how much was received, and since when the client may be waiting. */
+  String describe(long now) {
+    return received + (length < 0 ? "" : " of " + length)
+        + " bytes read, last byte written at most "
+        + TimeUnit.NANOSECONDS.toMillis(waitedNanos(now)) + " ms ago";
+  }
+
   /** Returns whether the client's time may be up before the body is complete. */
   public boolean isOverdue(long now) {
     return waitedNanos(now) >= clientNanos;
--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -49,6 +49,7 @@
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.LoopLag;
 import pumicekeel.runtime.Reactor;
+import pumicekeel.upstream.PassOnReason;
 import pumicekeel.upstream.UpstreamAttempt;
 import pumicekeel.upstream.UpstreamLinks;
 import pumicekeel.upstream.UpstreamTable;
@@ -87,6 +88,7 @@
   private final Map<String, OpenRequest> table = new HashMap<>();
   private final EndedRequests endedRequests = new EndedRequests();
   private final UpstreamTable upstreams;
+  private final StreamCounters streams = new StreamCounters();
   private final Queue<Event> events = new ArrayDeque<>();
   private final List<OpenRequest> finished = new ArrayList<>();
   private Consumer<Boolean> watch = on -> {};
@@ -262,6 +264,9 @@
   /** Limits the deadlines of open and future requests to the process's remaining time. */
   public void limitDeadlines(long nanos) {
     processEndsAt = clock.now() + nanos;
+    if (!streams.isEmpty()) {
+      Log.line(streams.logLine());
+    }
     table.values().stream()
         .filter(r -> !r.ended && Math.max(r.deadline, r.clientDeadline) > processEndsAt)
         .forEach(r -> loop.schedule(() -> answerForModule(r), nanos, TimeUnit.NANOSECONDS));
@@ -289,7 +294,8 @@
   public void timeUp(String id) {
     OpenRequest r = table.get(id);
     if (r != null && !r.ended) {
-      answer(r, "time up before its body was complete");
+      answer(
+          r, "time up before its body was complete, " + r.request.upload().describe(clock.now()));
       r.attempts.forEach(a -> a.end(AttemptEnd.TIME_UP, Status.CANCELLED, null));
     }
   }
@@ -480,13 +486,20 @@
           @Override
           public void ended(UpstreamAttempt ended, Status status, Answer answer) {
             upstreams.attemptEnded(upstream);
+            if (r.streamingAttempt == ended) {
+              streams.countEnd(ended.endReason(), clock.now() > r.clientDeadline);
+            }
             BalancerCore.this.attemptEnded(r, ended, status, answer);
           }
 
           @Override
           public BodySink answerStarted(
-              UpstreamAttempt begun, AnswerStart start, FlowControl source) {
-            return BalancerCore.this.answerStarted(r, begun, start, source);
+              UpstreamAttempt begun, AnswerStart start, FlowControl source, PassOnReason reason) {
+            BodySink sink = BalancerCore.this.answerStarted(r, begun, start, source);
+            if (sink != null) {
+              streams.countStart(reason);
+            }
+            return sink;
           }
 
           @Override
--- a/src/main/java/pumicekeel/runtime/Log.java
+++ b/src/main/java/pumicekeel/runtime/Log.java
@@ -16,6 +16,9 @@
 
   private static final AtomicInteger RATE_LIMITED_IN_SECOND = new AtomicInteger();
 
+  /** Lines beyond the maximum rate that no notice has named yet. */
+  private static final AtomicLong LEFT_OUT = new AtomicLong();
+
   /**
    * Receives this thread's lines in place of standard error; null for none. Used by simulations to read a program's
    * log.
@@ -34,8 +37,8 @@
   }
 
   /**
-   * Logs a line that peers can cause at any rate: beyond the maximum rate, shared by all such lines of the process, it is discarded
-   * without a notice. A redirected thread's lines are not limited.
+   * Logs a line that peers can cause at any rate: beyond the maximum rate, shared by all such lines of the process, it is discarded,
+   * and the next line that is not tells how many were. A redirected thread's lines are not limited.
    */
   public static void rateLimited(String text) {
     if (REDIRECTION.get() != null) {
@@ -46,9 +49,16 @@
     if (CURRENT_SECOND.getAndSet(second) != second) {
       RATE_LIMITED_IN_SECOND.set(0);
     }
-    if (RATE_LIMITED_IN_SECOND.incrementAndGet() <= MAX_RATE_LIMITED_PER_SECOND) {
-      line(text);
+    if (RATE_LIMITED_IN_SECOND.incrementAndGet() > MAX_RATE_LIMITED_PER_SECOND) {
+      LEFT_OUT.incrementAndGet();
+      return;
+    }
+    long leftOut = LEFT_OUT.getAndSet(0);
+    if (leftOut > 0) {
+      line("log: " + leftOut + " lines beyond " + MAX_RATE_LIMITED_PER_SECOND
+          + " a second left out");
     }
+    line(text);
   }
 
   /** Waits until the lines logged so far are written, at most this long; called before the process ends. */
--- a/src/main/java/pumicekeel/upstream/AnswerProgress.java
+++ b/src/main/java/pumicekeel/upstream/AnswerProgress.java
@@ -179,6 +179,11 @@
     return mayPassOn() && (now - beganAt > MAX_BUFFERING_NANOS || lastChance);
   }
 
+  /** Returns why an answer would be passed on now. */
+  PassOnReason passOnReason(long now) {
+    return now >= passOnAt() ? PassOnReason.TIME_ALMOST_UP : PassOnReason.BUFFERED_LONG;
+  }
+
   private boolean mayPassOn() {
     return state == State.BODY_ARRIVING && !passOnDeclined;
   }
--- a/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
@@ -26,7 +26,8 @@
      * Called when an answer starts that is not buffered; returns where its pieces go, or null to decline it. The end of the attempt is
      * still reported by {@link #ended}.
      */
-    default BodySink answerStarted(UpstreamAttempt attempt, AnswerStart start, FlowControl source) {
+    default BodySink answerStarted(
+        UpstreamAttempt attempt, AnswerStart start, FlowControl source, PassOnReason reason) {
       return null;
     }
 
@@ -57,6 +58,7 @@
   private long sentAt;
   private Clock clock;
   private Status status;
+  private AttemptEnd endReason;
   private Runnable onWritten;
   /** Part of the request's body has not been sent, so the upstream cannot have begun to process it. */
   private boolean bodyPending;
@@ -165,7 +167,7 @@
       case WAIT -> {}
       case SUSPECT -> suspect();
       case PASS_ON -> {
-        if (!passOn()) {
+        if (!passOn(progress.passOnReason(now))) {
           progress.passOnDeclined();
         }
       }
@@ -201,7 +203,7 @@
   }
 
   /** Starts to pass on the answer; returns false if its client accepts only a complete one. */
-  protected boolean passOn() {
+  protected boolean passOn(PassOnReason reason) {
     return false;
   }
 
@@ -212,10 +214,13 @@
   }
 
   /** Starts an answer that is streamed to the client. */
-  public final BodySink begin(AnswerStart start, FlowControl source) {
-    BodySink sink = status != null ? null : observer.answerStarted(this, start, source);
+  public final BodySink begin(AnswerStart start, FlowControl source, PassOnReason reason) {
+    BodySink sink = status != null ? null : observer.answerStarted(this, start, source, reason);
     if (sink != null) {
       answerStartedAt = clock.now();
+      if (reason != PassOnReason.SIZE) {
+        logProgress("is passed on, " + reason);
+      }
       progress.passedOn(answerStartedAt);
       scheduleCheck();
     }
@@ -264,6 +269,11 @@
     return status == null;
   }
 
+  /** Returns why it ended; null while it is in flight. */
+  public final AttemptEnd endReason() {
+    return endReason;
+  }
+
   /** Records that another process may have taken the listed upstream's place, so that its zone and cell are not known. */
   protected final void placeUncertain() {
     placeUncertain = true;
@@ -305,6 +315,7 @@
       return;
     }
     status = how;
+    endReason = reason;
     logEnd(reason);
     if (check != null) {
       check.cancel(false);
@@ -314,7 +325,8 @@
   }
 
   private void logEnd(AttemptEnd reason) {
-    if (reason.isLogged()) {
+    boolean answerLeft = answerBegun() && reason != AttemptEnd.ANSWERED;
+    if (reason.isLogged() || answerLeft) {
       logProgress("ended, " + reason + ", status " + status);
     }
   }
--- a/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
+++ b/src/main/java/pumicekeel/upstream/http/HttpAttempt.java
@@ -19,6 +19,7 @@
 import pumicekeel.call.Payload;
 import pumicekeel.call.Upload;
 import pumicekeel.guard.AttemptEnd;
+import pumicekeel.upstream.PassOnReason;
 import pumicekeel.upstream.UpstreamAttempt;
 
 /** An attempt with exclusive use of an HTTP connection; if it ends without an answer, the connection is closed too. */
@@ -172,8 +173,8 @@
   }
 
   @Override
-  protected boolean passOn() {
-    return connection.passOn();
+  protected boolean passOn(PassOnReason reason) {
+    return connection.passOn(reason);
   }
 
   @Override
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -31,6 +31,7 @@
 import pumicekeel.runtime.Log;
 import pumicekeel.runtime.PayloadBuffer;
 import pumicekeel.runtime.Reactor;
+import pumicekeel.upstream.PassOnReason;
 import pumicekeel.upstream.UpstreamAttempt;
 
 /**
@@ -291,7 +292,7 @@
     if (sink == null
         && (bodyBytesReceived > Answer.MAX_BUFFERED_BYTES
             || HttpUtil.getContentLength(response, -1L) > Answer.MAX_BUFFERED_BYTES)
-        && !startStreaming()) {
+        && !startStreaming(PassOnReason.SIZE)) {
       return false;
     }
     if (sink == null) {
@@ -311,7 +312,7 @@
     if (AnswerHead.statusOf(response) != Status.SERVED) {
       return true;
     }
-    if (!startStreaming()) {
+    if (!startStreaming(PassOnReason.NO_MEMORY)) {
       Log.rateLimited("upstream " + pool.address() + ": no memory for an answer");
       rejection = AttemptEnd.NO_MEMORY;
       return false;
@@ -321,13 +322,15 @@
   }
 
   /** Starts to stream the answer, beginning with what has been buffered of it; returns false if its client cannot accept that. */
-  private boolean startStreaming() {
+  private boolean startStreaming(PassOnReason reason) {
     if (AnswerHead.statusOf(response) != Status.SERVED) {
       return true;
     }
     long length = HttpUtil.getContentLength(response, -1L);
     sink = attempt.begin(
-        new AnswerStart(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length), this::flow);
+        new AnswerStart(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length),
+        this::flow,
+        reason);
     if (sink != null && body.size() > 0) {
       sink.onChunk(Unpooled.wrappedBuffer(body.toBytes()));
       body.clear();
@@ -367,8 +370,8 @@
   }
 
   /** Starts to pass on the answer before it is whole; returns false if its client accepts only a complete one. */
-  boolean passOn() {
-    return sink != null || startStreaming() && sink != null;
+  boolean passOn(PassOnReason reason) {
+    return sink != null || startStreaming(reason) && sink != null;
   }
 
   /** Returns whether part of the answer itself has arrived, not only of interim ones before it. */
