--- a/src/main/java/pumicekeel/cli/RigSoakCommand.java
+++ b/src/main/java/pumicekeel/cli/RigSoakCommand.java
@@ -110,6 +110,13 @@
           "Add upstreams that write sound answers slowly, and some that stop, to the random faults.")
   private boolean slowPeers;
 
+  @Option(
+      names = "--overtime-answers",
+      description =
+          "Instead of random faults: upstreams write sound answers that end behind their client's time, and some that stop; odd"
+              + " seeds add signals, a leaving upstream, a crowd, slow readers.")
+  private boolean overtimeAnswers;
+
   @Option(
       names = "--logs",
       description = "Print the end of the processes' logs even if all rules held.")
@@ -146,10 +153,17 @@
     if (lists != null) {
       return SoakPlan.lists(runSeed, lists, balancers, seconds, peers);
     }
-    SoakPlan plan = calls.isEmpty()
-        ? slowPeers ? SoakPlan.slowPeers(runSeed) : SoakPlan.random(runSeed)
-        : SoakPlan.calls(runSeed, perMille, calls.toArray(CallKind[]::new));
-    return plan.with(add.toArray(SoakPlan.Disturbance[]::new));
+    return basePlanOf(runSeed).with(add.toArray(SoakPlan.Disturbance[]::new));
+  }
+
+  private SoakPlan basePlanOf(long runSeed) {
+    if (overtimeAnswers) {
+      return SoakPlan.overtimeAnswers(runSeed);
+    }
+    if (!calls.isEmpty()) {
+      return SoakPlan.calls(runSeed, perMille, calls.toArray(CallKind[]::new));
+    }
+    return slowPeers ? SoakPlan.slowPeers(runSeed) : SoakPlan.random(runSeed);
   }
 
   private SoakRun.Result print(SoakRun.Result result, PrintStream out) {
--- a/src/main/java/pumicekeel/rig/soak/RequestLog.java
+++ b/src/main/java/pumicekeel/rig/soak/RequestLog.java
@@ -30,6 +30,10 @@
     LEFT,
     /** Upstream: the complete request was received; the value is the X-Time-Left-Ms header, the text the URI. */
     RECEIVED,
+    /** Client: it closed its connection, its time having been up for long; the value is the time since then in ms. */
+    STOPPED_WAITING,
+    /** Upstream: the head of an answer that comes slowly was written; the value is the status. */
+    REPLYING,
     /** Upstream: an answer was written; the value is the status. */
     REPLIED,
     /** Upstream: the connection was closed before the answer was written. */
--- a/src/main/java/pumicekeel/rig/soak/SlowAnswerWriter.java
+++ b/src/main/java/pumicekeel/rig/soak/SlowAnswerWriter.java
@@ -63,6 +63,7 @@
       case CLOSE -> "Connection: close";
     };
     headWritten = true;
+    log.add(id, upstream, EventType.REPLYING, OK, answer.pattern() + " " + answer.framing());
     write(ascii("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n"));
   }
 
--- a/src/main/java/pumicekeel/rig/soak/SlowAnswers.java
+++ b/src/main/java/pumicekeel/rig/soak/SlowAnswers.java
@@ -10,9 +10,11 @@
  * @param seed seed of all decisions
  * @param slowShare share of answers that are slow
  * @param stopShare share of answers that stop for good after their head or in their body
- * @param latestPart a sound answer's last byte comes at most at this part of the announced time; above 1 only for steady answers
+ * @param latestPart a steady answer's last byte comes at most at this part of the announced time
+ * @param latestPartWithGaps the same for answers with long gaps
  */
-record SlowAnswers(long seed, double slowShare, double stopShare, double latestPart) {
+record SlowAnswers(
+    long seed, double slowShare, double stopShare, double latestPart, double latestPartWithGaps) {
 
   /** How the end of a body is told. */
   enum Framing {
@@ -29,6 +31,8 @@
     LUMPS,
     /** As a whole, long after the head. */
     LATE_BODY,
+    /** A small body, some bytes at a time. */
+    DRIP,
     /** A first part or none; nothing more ever comes. */
     STOPS
   }
@@ -47,9 +51,9 @@
 
   private static final int MIN_LENGTH = 2_000;
   private static final int MAX_LENGTH = 240_000;
+  private static final int MIN_DRIP_LENGTH = 60;
+  private static final int MAX_DRIP_LENGTH = 400;
   private static final long STEADY_INTERVAL_MILLIS = 40;
-  /** Lumps and late bodies end at most at this part of the announced time: after it a long gap can't be told from an end. */
-  private static final double LATEST_PART_WITH_GAPS = 0.75;
 
   private static final int MAX_HEAD_MILLIS = 80;
 
@@ -71,15 +75,25 @@
       List<Piece> first = part == 0 ? List.of() : List.of(new Piece(part, head));
       return new Answer(framing, Pattern.STOPS, length, head, first);
     }
-    Pattern pattern =
-        List.of(Pattern.STEADY, Pattern.LUMPS, Pattern.LATE_BODY).get(random.nextInt(3));
-    double latest =
-        pattern == Pattern.STEADY ? latestPart : Math.min(latestPart, LATEST_PART_WITH_GAPS);
+    Pattern pattern = drawSoundPattern(random);
+    if (pattern == Pattern.DRIP) {
+      length = MIN_DRIP_LENGTH + random.nextInt(MAX_DRIP_LENGTH - MIN_DRIP_LENGTH);
+    }
+    boolean hasGaps = pattern == Pattern.LUMPS || pattern == Pattern.LATE_BODY;
+    double latest = hasGaps ? latestPartWithGaps : latestPart;
     long end =
         head + (long) ((0.2 + random.nextDouble() * (latest - 0.2)) * (announcedMillis - head));
     return new Answer(framing, pattern, length, head, pieces(pattern, length, head, end, random));
   }
 
+  /** Answers that drip are drawn only where answers with gaps may be late, so that older plans stay the same for a seed. */
+  private Pattern drawSoundPattern(Random random) {
+    List<Pattern> patterns = latestPartWithGaps > 1
+        ? List.of(Pattern.STEADY, Pattern.LUMPS, Pattern.LATE_BODY, Pattern.DRIP)
+        : List.of(Pattern.STEADY, Pattern.LUMPS, Pattern.LATE_BODY);
+    return patterns.get(random.nextInt(patterns.size()));
+  }
+
   private static List<Piece> pieces(
       Pattern pattern, int length, long head, long end, Random random) {
     if (pattern == Pattern.LATE_BODY) {
--- a/src/main/java/pumicekeel/rig/soak/SoakClients.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakClients.java
@@ -93,6 +93,9 @@
 
   private static final int CONNECT_TIMEOUT_MILLIS = 3_000;
 
+  /** How long a client still waits for the rest of an answer once its time is up. */
+  static final long MAX_OVERTIME_MILLIS = 4_000;
+
   private final String name;
   private final EventLoop loop;
   private final RequestLog log;
@@ -364,6 +367,18 @@
           request.timeLeftMillis(),
           request.requestClass().name()
               + (requestsSent == 1 ? " new connection" : " kept connection"));
+      loop.schedule(
+          () -> stopWaiting(request),
+          request.timeLeftMillis() + MAX_OVERTIME_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
+
+    private void stopWaiting(Request request) {
+      if (open == request) {
+        open = null;
+        log.add(request.id(), name, EventType.STOPPED_WAITING, MAX_OVERTIME_MILLIS, "");
+        ctx.close();
+      }
     }
 
     private void writePieces(Request request, EventType type, ByteBuf text) {
--- a/src/main/java/pumicekeel/rig/soak/SoakJudge.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakJudge.java
@@ -31,7 +31,7 @@
     SENT_TO_LEAVING,
     /** A cold upstream received more than its cold budget. */
     COLD_OVERLOADED,
-    /** A sound answer that was being written was ended by the balancer, and its client got no whole answer. */
+    /** A sound answer that had begun in time was ended by the balancer, and its client got no whole answer. */
     SOUND_ANSWER_CUT
   }
 
@@ -81,6 +81,9 @@
   /** The client's time starts at the balancer before its own clock does, by what the request may have waited unread. */
   private static final long CUT_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
+  /** An answer whose head is written this long before its client's time is up has begun at the balancer in time. */
+  private static final long HEAD_IN_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   /** The stop counts from the earliest moment at which the signal may have been sent. */
   private static final long STOP_EARLY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -177,6 +180,8 @@
       }
     } else if (closed != null && begun(events) != null) {
       checkTruncation(id, events, sent, closed, deadline);
+    } else if (first(events, EventType.STOPPED_WAITING) != null) {
+      checkUnfinished(id, events, sent);
     } else if (closed != null) {
       boolean closedUnread = circumstances.crowded()
           && closed.text().startsWith("new")
@@ -197,7 +202,23 @@
         .orElse(null);
   }
 
-  /** Checks an answer that the client saw truncated: its upstream must have ended or stopped it, and the client must see that in time. */
+  /**
+   * Checks a request whose client left long after its time: the client must have a part of an answer that its upstream never wrote to the
+   * end, which is not lost.
+   */
+  private void checkUnfinished(String id, List<Event> events, Event sent) {
+    Event left = first(events, EventType.STOPPED_WAITING);
+    boolean unfinished = begun(events) != null && brokenByUpstream(events);
+    if (!unfinished && !wasKilled(sent.source(), sent.atNanos(), left.atNanos())) {
+      report(
+          Rule.NEVER_ANSWERED, id, "no end of an answer " + left.value() + " ms behind its time");
+    }
+  }
+
+  /**
+   * Checks an answer that the client saw truncated: its upstream must have ended or stopped it, and once both that and the client's time
+   * are over the client must see it soon.
+   */
   private void checkTruncation(
       String id, List<Event> events, Event sent, Event closed, long deadline) {
     if (first(events, EventType.SOUND_CUT) != null) {
@@ -207,16 +228,22 @@
     if (endedByStop(sent.source(), closed.atNanos()) || circumstances.connectionsBreak()) {
       return;
     }
-    if (first(events, EventType.GIVEN_UP) == null) {
+    long upstreamEnd = events.stream()
+        .filter(e -> e.type() == EventType.GIVEN_UP)
+        .mapToLong(Event::atNanos)
+        .max()
+        .orElse(Long.MIN_VALUE);
+    if (upstreamEnd == Long.MIN_VALUE) {
       report(Rule.CLOSED_UNANSWERED, id, "answer truncated, " + closed.text());
       return;
     }
     long lateNanos = lateness.nanos(sent.source(), sent.atNanos(), closed.atNanos());
-    if (closed.atNanos() - deadline > ANSWER_SLACK_NANOS + lateNanos) {
+    long sinceEnd = closed.atNanos() - Math.max(deadline, upstreamEnd);
+    if (sinceEnd > ANSWER_SLACK_NANOS + lateNanos) {
       report(
           Rule.NEVER_ANSWERED,
           id,
-          "truncated " + (closed.atNanos() - deadline) / 1_000_000 + " ms after the deadline");
+          "truncated " + sinceEnd / 1_000_000 + " ms after its upstream's end and the deadline");
     }
   }
 
@@ -241,22 +268,29 @@
     if (served
         || circumstances.connectionsBreak()
         || first(events, EventType.LEFT) != null
-        || first(events, EventType.UNREACHABLE) != null
-        || wasKilled(sent.source(), sent.atNanos(), deadline)) {
+        || first(events, EventType.UNREACHABLE) != null) {
       return;
     }
     boolean begun = events.stream().anyMatch(e -> e.type() == EventType.BEGUN && e.value() == OK);
     for (Event e : events) {
-      if (e.type() != EventType.SOUND_CUT) {
+      if (e.type() != EventType.SOUND_CUT
+          || wasKilled(sent.source(), sent.atNanos(), Math.max(deadline, e.atNanos()))) {
         continue;
       }
       long earlyNanos = deadline
           - e.atNanos()
           - CUT_SLACK_NANOS
           - lateness.nanos(sent.source(), sent.atNanos(), e.atNanos());
+      boolean headInTime = events.stream()
+          .anyMatch(h -> h.type() == EventType.REPLYING
+              && h.source().equals(e.source())
+              && e.atNanos() - h.atNanos() > CUT_SLACK_NANOS
+              && deadline - h.atNanos()
+                  > HEAD_IN_TIME_NANOS
+                      + lateness.nanos(sent.source(), sent.atNanos(), h.atNanos()));
       boolean givenUpForAnother = begun && brokenByUpstream(events);
       boolean allowed = givenUpForAnother || endedByStop(sent.source(), e.atNanos());
-      if ((earlyNanos > 0 || begun) && !allowed) {
+      if ((earlyNanos > 0 || begun || headInTime) && !allowed) {
         report(
             Rule.SOUND_ANSWER_CUT,
             id,
@@ -292,7 +326,8 @@
   }
 
   private void checkAttempts(String id, List<Event> events, Event sent, long deadline) {
-    Event abandoned = first(events, EventType.LEFT);
+    Event left = first(events, EventType.LEFT);
+    Event abandoned = left == null ? first(events, EventType.STOPPED_WAITING) : left;
     Event answered = first(events, EventType.ANSWERED);
     for (Event e : events) {
       if (e.type() != EventType.RECEIVED) {
--- a/src/main/java/pumicekeel/rig/soak/SoakPlan.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakPlan.java
@@ -69,7 +69,9 @@
     /** One client at a time sends small requests at full speed on one connection, sound or not, under ever new names. */
     FLOOD,
     /** Clients send many requests at once and leave with all answers unread. */
-    PIPELINE_AND_LEAVE
+    PIPELINE_AND_LEAVE,
+    /** With {@link #SLOW_ANSWERS}: also answers with long gaps, and ones that drip, end behind their client's time. */
+    OVERTIME_ANSWERS
   }
 
   private static final double REQUESTS_PER_SECOND_PER_BALANCER = 25;
@@ -93,6 +95,18 @@
   private static final double LATE_PART = 1.6;
 
   private static final double TIMELY_PART = 0.75;
+  /** The latest last byte of answers that outlast their client's time, as multiples of it. */
+  private static final List<Double> OVERTIME_PARTS = List.of(1.3, 1.8, 2.2);
+
+  /** What may happen beside answers that outlast their client's time. */
+  private static final List<Disturbance> BESIDE_OVERTIME = List.of(
+      Disturbance.RESTART,
+      Disturbance.HANGUP,
+      Disturbance.LEAVING_UPSTREAM,
+      Disturbance.CROWD,
+      Disturbance.SLOW_CLIENTS,
+      Disturbance.SLOW_UPLOADS);
+
   private static final long SLOW_PEERS_SEED = 0x51d7348dL;
 
   private static final List<CallKind> KINDS = List.of(CallKind.values());
@@ -178,6 +192,24 @@
         false);
   }
 
+  /**
+   * Returns a plan in which most answers end behind their client's time, in lumps, late, steadily or dripping, and some stop for good; an
+   * odd seed adds some of signals in series, a leaving upstream, a crowd, and clients and upstreams that read slowly.
+   */
+  public static SoakPlan overtimeAnswers(long seed) {
+    Random random = new Random(seed ^ SLOW_PEERS_SEED);
+    random.nextLong();
+    Set<Disturbance> disturbances =
+        EnumSet.of(Disturbance.SLOW_ANSWERS, Disturbance.OVERTIME_ANSWERS);
+    for (Disturbance beside : BESIDE_OVERTIME) {
+      if (random.nextBoolean() && seed % 2 != 0) {
+        disturbances.add(beside);
+      }
+    }
+    return new SoakPlan(
+        seed, 1, 8, 20, Map.of(), disturbances, SoakSettings.DEFAULT.forSlowAnswers(), null, false);
+  }
+
   /** Returns a plan for one balancer whose only trouble are these hostile clients. */
   public static SoakPlan hostile(long seed, Disturbance kind) {
     return new SoakPlan(seed, 1, 6, 100, Map.of(), Set.of(kind), SoakSettings.DEFAULT, null, false);
@@ -191,7 +223,11 @@
     double stopShare = random.nextBoolean() ? MAX_STOP_SHARE : 0;
     double latestPart = random.nextBoolean() ? LATE_PART : TIMELY_PART;
     double slowShare = Math.min(1 - stopShare, 0.3 + 0.7 * random.nextDouble());
-    return new SlowAnswers(seed, slowShare, stopShare, latestPart);
+    if (!has(Disturbance.OVERTIME_ANSWERS)) {
+      return new SlowAnswers(seed, slowShare, stopShare, latestPart, TIMELY_PART);
+    }
+    double overtimePart = OVERTIME_PARTS.get(random.nextInt(OVERTIME_PARTS.size()));
+    return new SlowAnswers(seed, slowShare, stopShare, overtimePart, overtimePart);
   }
 
   /** Returns whether system calls on connections fail in a way that ends sound ones. */
--- a/src/main/java/pumicekeel/rig/soak/SoakRun.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakRun.java
@@ -252,7 +252,10 @@
   private void finish() throws IOException, InterruptedException {
     balancers.forEach(b -> b.clients().stopSending());
     boolean slow = plan.has(Disturbance.SLOW_ANSWERS) || plan.has(Disturbance.SLOW_UPLOADS);
-    long overtimeMillis = slow ? plan.settings().longMillis() + MAX_UPLOAD_MILLIS : 0;
+    long overtimeMillis = slow
+        ? Math.max(
+            SoakClients.MAX_OVERTIME_MILLIS, plan.settings().longMillis() + MAX_UPLOAD_MILLIS)
+        : 0;
     pause(overtimeMillis
         + plan.settings().longMillis()
         + SoakJudge.ANSWER_SLACK_NANOS / NANOS_PER_MILLI
@@ -318,6 +321,13 @@
     return balancers.stream().flatMap(b -> b.lastLines().stream()).toList();
   }
 
+  private String slowAnswersOption() {
+    if (plan.has(Disturbance.OVERTIME_ANSWERS)) {
+      return " --overtime-answers";
+    }
+    return plan.has(Disturbance.SLOW_ANSWERS) ? " --slow-peers" : "";
+  }
+
   private List<String> report(List<Violation> violations) {
     List<String> lines = new ArrayList<>();
     if (violations.isEmpty() && problems.isEmpty()) {
@@ -327,8 +337,8 @@
         ? ""
         : " --lists " + plan.lists() + " --balancers " + plan.balancers() + " --seconds "
             + plan.seconds() + (plan.peers() ? " --peers" : "");
-    lines.add(
-        "reproduce with: rig soak --seed " + plan.seed() + " --runs 1" + lists + "; plan " + plan);
+    lines.add("reproduce with: rig soak --seed " + plan.seed() + " --runs 1" + slowAnswersOption()
+        + lists + "; plan " + plan);
     lines.add("own lateness at most " + ownLateness.get() / NANOS_PER_MILLI + " ms");
     problems.forEach(p -> lines.add("problem: " + p));
     violations.stream().limit(MAX_TIMELINES).forEach(v -> {
--- a/src/test/java/pumicekeel/rig/soak/SoakJudgeTest.java
+++ b/src/test/java/pumicekeel/rig/soak/SoakJudgeTest.java
@@ -274,9 +274,20 @@
   }
 
   @Test
-  void soundAnswerMayBeEndedAtItsClientsTimeOrIfAnotherWasWhole() {
+  void soundAnswerThatIsEndedAtItsClientsTimeIsReportedIfItsHeadCameInTime() {
+    sent("r", "rate-lookup", 1_000);
+    received(10, "r", "s0", 900);
+    at(890, "r", "s0", EventType.REPLYING, 200, "LATE_BODY LENGTH");
+    soundCut(1_000, "r", "s0");
+    answered(1_001, "r", 502);
+    assertEquals(List.of(Rule.SOUND_ANSWER_CUT), violatedRules());
+  }
+
+  @Test
+  void soundAnswerMayBeEndedAtItsClientsTimeIfItsHeadCameLateOrIfAnotherWasWhole() {
     sent("due", "rate-lookup", 1_000);
     received(10, "due", "s0", 900);
+    at(901, "due", "s0", EventType.REPLYING, 200, "LATE_BODY LENGTH");
     soundCut(1_000, "due", "s0");
     answered(1_001, "due", 502);
     sent("copied", "rate-lookup", 1_000);
@@ -318,19 +329,46 @@
   }
 
   @Test
-  void streamThatItsUpstreamStopsIsTruncatedInTime() {
-    sent("in-time", "rate-lookup", 1_000);
-    received(10, "in-time", "s0", 900);
-    begun(700, "in-time");
-    at(1_400, "in-time", "s0", EventType.GIVEN_UP, 5, "STOPS LENGTH, 5 of 9 bytes");
-    at(1_400, "in-time", "c", EventType.CLOSED, 0, "new connection, end of stream");
+  void streamThatItsUpstreamEndsIsTruncatedSoon() {
+    for (long upstreamEnd : List.of(800L, 1_000L, 1_600L)) {
+      long due = Math.max(upstreamEnd, 1_000) + 500;
+      String inTime = "in-time" + upstreamEnd;
+      truncated(inTime, upstreamEnd, due);
+      assertEquals(List.of(), violatedRules(), inTime);
+    }
+    truncated("late1", 800, 1_501);
+    assertEquals(List.of(Rule.NEVER_ANSWERED), violatedRules());
+    truncated("late2", 1_600, 2_101);
+    assertEquals(List.of(Rule.NEVER_ANSWERED, Rule.NEVER_ANSWERED), violatedRules());
+  }
+
+  private void truncated(String id, long upstreamEndMillis, long clientEndMillis) {
+    sent(id, "rate-lookup", 1_000);
+    received(10, id, "s0", 900);
+    begun(700, id);
+    at(upstreamEndMillis, id, "s0", EventType.GIVEN_UP, 5, "STOPS LENGTH, 5 of 9 bytes");
+    at(clientEndMillis, id, "c", EventType.CLOSED, 0, "new connection, end of stream");
+  }
+
+  @Test
+  void requestWithoutAnEndIsReportedUnlessItsUpstreamStoppedWhatWasPassedOn() {
+    sent("stopped", "rate-lookup", 1_000);
+    received(10, "stopped", "s0", 900);
+    begun(940, "stopped");
+    at(5_000, "stopped", "c", EventType.STOPPED_WAITING, 4_000, "");
+    at(5_001, "stopped", "s0", EventType.GIVEN_UP, 5, "STOPS LENGTH, 5 of 9 bytes");
     assertEquals(List.of(), violatedRules());
-    sent("late", "rate-lookup", 1_000);
-    received(10, "late", "s0", 900);
-    begun(700, "late");
-    at(1_600, "late", "s0", EventType.GIVEN_UP, 5, "STOPS LENGTH, 5 of 9 bytes");
-    at(1_600, "late", "c", EventType.CLOSED, 0, "new connection, end of stream");
+    sent("nothing", "rate-lookup", 1_000);
+    received(10, "nothing", "s0", 900);
+    at(5_000, "nothing", "c", EventType.STOPPED_WAITING, 4_000, "");
+    at(5_001, "nothing", "s0", EventType.GIVEN_UP, 5, "STOPS LENGTH, 5 of 9 bytes");
     assertEquals(List.of(Rule.NEVER_ANSWERED), violatedRules());
+    sent("whole", "rate-lookup", 1_000);
+    received(10, "whole", "s0", 900);
+    begun(940, "whole");
+    replied(2_000, "whole", "s0");
+    at(5_000, "whole", "c", EventType.STOPPED_WAITING, 4_000, "");
+    assertEquals(List.of(Rule.NEVER_ANSWERED, Rule.NEVER_ANSWERED), violatedRules());
   }
 
   @Test
