Pass on each answer that has begun, and end it by no time but an idle time-out

Cause: after the client's time AnswerProgress took 300 ms of silence for an end (OVERTIME_SILENCE_NANOS), under 256 bytes a second too (MIN_BYTES_PER_SECOND), and a body that was silent at the margin was not passed on (nextOfBuffered). No silence of that length tells a slow answer from one that has stopped. Of two the one likelier to end: heard of within 0.3 s, then with a body, then heard of last. A head passed on alone is flushed. A part of a head still ends at the client's time: there is nothing to pass on, and half a second is the limit.

--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -302,7 +302,23 @@
 
   /** Answers a request that the module left unanswered until its deadline. */
   private void answerForModule(OpenRequest r) {
-    answer(r, "answered in place of the module");
+    if (!passOnBegunAnswer(r)) {
+      answer(r, "answered in place of the module");
+    }
+  }
+
+  /** Passes on an answer that has begun, in place of a final answer made here; returns false if there is none. */
+  private static boolean passOnBegunAnswer(OpenRequest r) {
+    while (!r.ended) {
+      UpstreamAttempt likeliest = r.likeliestToEnd(null);
+      if (likeliest == null) {
+        return false;
+      }
+      if (likeliest.startPassingOn(PassOnReason.TIME_ALMOST_UP)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private void answer(OpenRequest r, String reason) {
@@ -431,7 +447,7 @@
       refuse(a);
     } else if (action instanceof Fail a) {
       OpenRequest r = table.get(a.id());
-      if (r != null && finish(r)) {
+      if (r != null && !passOnBegunAnswer(r) && finish(r)) {
         r.client.failed();
       }
     } else if (action instanceof SetTimer a) {
@@ -451,7 +467,7 @@
 
   private void refuse(Refuse a) {
     OpenRequest r = table.get(a.id());
-    if (r == null || r.ended) {
+    if (r == null || r.ended || passOnBegunAnswer(r)) {
       return;
     }
     // Removed from the table first: what takes the request over may submit it here again under the
@@ -502,6 +518,11 @@
             return sink;
           }
 
+          @Override
+          public UpstreamAttempt likeliestToEnd(UpstreamAttempt due) {
+            return r.likeliestToEnd(due);
+          }
+
           @Override
           public void answerArriving(UpstreamAttempt arriving) {
             BalancerCore.this.answerArriving(r, arriving);
@@ -584,8 +605,12 @@
 
   private void cancel(Cancel a) {
     OpenRequest r = table.get(a.id());
-    if (r != null && a.attempt() < r.attempts.size()) {
-      r.attempts.get(a.attempt()).end(AttemptEnd.CANCELLED, Status.CANCELLED, null);
+    if (r == null || a.attempt() >= r.attempts.size()) {
+      return;
+    }
+    UpstreamAttempt attempt = r.attempts.get(a.attempt());
+    if (attempt != r.streamingAttempt) {
+      attempt.end(AttemptEnd.CANCELLED, Status.CANCELLED, null);
     }
   }
 
--- a/src/main/java/pumicekeel/core/OpenRequest.java
+++ b/src/main/java/pumicekeel/core/OpenRequest.java
@@ -74,6 +74,17 @@
     return harmful;
   }
 
+  /** Returns the attempt in flight whose answer can be passed on and is likeliest to end; {@code due} if there is no better one. */
+  UpstreamAttempt likeliestToEnd(UpstreamAttempt due) {
+    UpstreamAttempt likeliest = due;
+    for (UpstreamAttempt attempt : attempts) {
+      boolean better =
+          attempt.canPassOn() && (likeliest == null || attempt.isLikelierToEndThan(likeliest));
+      likeliest = better ? attempt : likeliest;
+    }
+    return likeliest;
+  }
+
   public boolean isComplete() {
     return ended && attempts.stream().noneMatch(UpstreamAttempt::inFlight);
   }
--- a/src/main/java/pumicekeel/guard/AttemptEnd.java
+++ b/src/main/java/pumicekeel/guard/AttemptEnd.java
@@ -24,8 +24,6 @@
   TIME_UP(true),
   /** The answer began and then brought nothing for too long. */
   SILENT(true),
-  /** Hardly anything of the answer arrived, and the client's time was up. */
-  TRICKLING(true),
   /** The answer was malformed, or had data behind its end. */
   MALFORMED(true),
   /** The answer was larger than the protocol allows. */
--- a/src/main/java/pumicekeel/upstream/AnswerProgress.java
+++ b/src/main/java/pumicekeel/upstream/AnswerProgress.java
@@ -8,9 +8,9 @@
  * Decides when the answer of one attempt may be passed on, doubted or ended, by what has arrived of it and for how long nothing has. The
  * only place where a time ends an attempt. No I/O; times are readings of one clock in nanoseconds.
  *
- * <p>Until the first byte the attempt's time-out applies. An answer that has begun has its client's whole time; silence only makes it
- * suspect, so that another attempt may be made beside it. What the client has a part of is ended by nothing but a long silence, or a
- * short one once the client's time is up.
+ * <p>Until the first byte the attempt's time-out applies. An answer whose head has arrived is passed on before its client's time is up,
+ * silent or not, since a slow answer can't be told from one that has stopped; silence only makes it suspect, so that another attempt may
+ * be made beside it. An answer that has been passed on is ended by no time but the idle time-out.
  */
 public final class AnswerProgress {
 
@@ -18,7 +18,9 @@
   public enum State {
     /** No part of the answer has arrived. */
     AWAITED,
-    /** Its head, or a part of that, has arrived. */
+    /** A part of its head has arrived. */
+    HEAD_ARRIVING,
+    /** Its head has arrived. */
     HEAD_ARRIVED,
     /** A part of its body has arrived. */
     BODY_ARRIVING,
@@ -37,9 +39,7 @@
     /** End the attempt: its time is up. */
     END_TIME_UP(AttemptEnd.TIME_UP, Status.TIMEOUT),
     /** End the attempt: nothing more arrives. */
-    END_SILENT(AttemptEnd.SILENT, Status.RESET),
-    /** End the attempt: hardly anything arrives, and the client's time is up. */
-    END_TRICKLING(AttemptEnd.TRICKLING, Status.RESET);
+    END_SILENT(AttemptEnd.SILENT, Status.RESET);
 
     private final AttemptEnd reason;
     private final Status status;
@@ -62,16 +62,15 @@
 
   /** Silence after which an answer that has begun is suspected to have stopped. */
   static final long SUSPICION_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-  /** Silence that ends an answer whatever the client's time is. */
-  static final long MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(10);
+  /**
+   * Silence that ends an answer in any state: the usual default of reverse proxies, and twenty times the longest deadline (3 s) of a
+   * client.
+   */
+  static final long IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(60);
   /** An answer that is still arriving after this time is passed on: no part of it may be held back for as long as 2 s. */
   static final long MAX_BUFFERING_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-  /** An arriving answer is passed on this long before its client's time is up, so that it begins in time on a busy processor. */
+  /** An answer that has begun is passed on this long before its client's time is up, so that it begins in time on a busy processor. */
   static final long PASS_ON_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
-  /** Silence after the client's time that ends a passed-on answer: its client has to see an end within half a second. */
-  static final long OVERTIME_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-  /** An answer that is slower than this on average does not go on after its client's time. */
-  static final long MIN_BYTES_PER_SECOND = 256;
 
   private State state = State.AWAITED;
   private long firstByteDeadline;
@@ -81,12 +80,9 @@
   private long bodyBytes;
   private boolean suspected;
   private boolean passOnDeclined;
-  /** Whether the client accepts no more at the moment, since when, and for how long it did not before. */
+  /** Whether the client accepts no more at the moment. */
   private boolean paused;
 
-  private long pausedAt;
-  private long pausedNanos;
-
   /** Sets the time by which the answer has to begin, and the time for which the client waits. */
   public void setDeadlines(long firstByte, long client) {
     firstByteDeadline = firstByte;
@@ -99,17 +95,24 @@
    * Records that a part of the answer has arrived, of whose body {@code totalBodyBytes} have arrived so far; returns whether the answer
    * has begun with it.
    */
-  public boolean arrived(long totalBodyBytes, long now) {
+  public boolean arrived(boolean headComplete, long totalBodyBytes, long now) {
     boolean begins = state == State.AWAITED;
     beganAt = begins ? now : beganAt;
     lastArrivalAt = now;
     bodyBytes = totalBodyBytes;
     if (state != State.PASSED_ON) {
-      state = totalBodyBytes > 0 ? State.BODY_ARRIVING : State.HEAD_ARRIVED;
+      state = stateOf(headComplete, totalBodyBytes);
     }
     return begins;
   }
 
+  private static State stateOf(boolean headComplete, long totalBodyBytes) {
+    if (!headComplete) {
+      return State.HEAD_ARRIVING;
+    }
+    return totalBodyBytes > 0 ? State.BODY_ARRIVING : State.HEAD_ARRIVED;
+  }
+
   /** Records that the client has a part of the answer. */
   public void passedOn(long now) {
     beganAt = beganAt == 0 ? now : beganAt;
@@ -124,10 +127,7 @@
 
   /** Records that the client accepts no more of the answer, or accepts more again: its silence is not the upstream's. */
   public void setPaused(boolean nowPaused, long now) {
-    if (nowPaused && !paused) {
-      pausedAt = now;
-    } else if (!nowPaused && paused) {
-      pausedNanos += now - pausedAt;
+    if (!nowPaused && paused) {
       lastArrivalAt = now;
     }
     paused = nowPaused;
@@ -143,40 +143,33 @@
     if (paused) {
       return Step.WAIT;
     }
-    if (now - lastArrivalAt >= MAX_SILENCE_NANOS) {
+    if (now - lastArrivalAt >= IDLE_TIMEOUT_NANOS) {
       return Step.END_SILENT;
     }
-    return state == State.PASSED_ON ? nextOfPassedOn(now) : nextOfBuffered(now);
-  }
-
-  private Step nextOfPassedOn(long now) {
-    if (now < clientDeadline) {
-      return Step.WAIT;
-    }
-    if (isTrickling(now)) {
-      return Step.END_TRICKLING;
-    }
-    return now >= overtimeEnd() ? Step.END_SILENT : Step.WAIT;
-  }
-
-  private Step nextOfBuffered(long now) {
-    if (now >= clientDeadline) {
-      return Step.END_TIME_UP;
-    }
-    boolean silent = now - lastArrivalAt >= SUSPICION_NANOS;
-    if (!silent && shouldPassOn(now)) {
-      return Step.PASS_ON;
-    }
-    if (silent && !suspected) {
+    if (state != State.PASSED_ON) {
+      if (canPassOn() && isPassOnDue(now)) {
+        return Step.PASS_ON;
+      }
+      if (now >= clientDeadline) {
+        return Step.END_TIME_UP;
+      }
+    }
+    if (isSilent(now) && !suspected) {
       suspected = true;
       return Step.SUSPECT;
     }
     return Step.WAIT;
   }
 
-  private boolean shouldPassOn(long now) {
-    boolean lastChance = now >= passOnAt() && !isTrickling(now);
-    return mayPassOn() && (now - beganAt > MAX_BUFFERING_NANOS || lastChance);
+  /** Returns whether its head has arrived, and neither was it passed on nor did its client decline that. */
+  boolean canPassOn() {
+    return (state == State.HEAD_ARRIVED || state == State.BODY_ARRIVING) && !passOnDeclined;
+  }
+
+  private boolean isPassOnDue(long now) {
+    boolean bufferedLong =
+        state == State.BODY_ARRIVING && !isSilent(now) && now - beganAt > MAX_BUFFERING_NANOS;
+    return bufferedLong || now >= passOnAt();
   }
 
   /** Returns why an answer would be passed on now. */
@@ -184,22 +177,32 @@
     return now >= passOnAt() ? PassOnReason.TIME_ALMOST_UP : PassOnReason.BUFFERED_LONG;
   }
 
-  private boolean mayPassOn() {
-    return state == State.BODY_ARRIVING && !passOnDeclined;
-  }
-
   private long passOnAt() {
     return clientDeadline - PASS_ON_MARGIN_NANOS;
   }
 
-  /** Counted from the client's time at the earliest: before that, the next part may be late. */
-  private long overtimeEnd() {
-    return Math.max(lastArrivalAt, clientDeadline) + OVERTIME_SILENCE_NANOS;
+  private boolean isSilent(long now) {
+    return now - lastArrivalAt >= SUSPICION_NANOS;
   }
 
-  private boolean isTrickling(long now) {
-    long nanos = now - beganAt - pausedNanos;
-    return bodyBytes * TimeUnit.SECONDS.toNanos(1) < nanos * MIN_BYTES_PER_SECOND;
+  /**
+   * Returns whether this answer, of two of one request that can be passed on, is likelier to end: one that is not silent, then one whose
+   * body has begun, then the one that was heard of last.
+   */
+  boolean isLikelierToEndThan(AnswerProgress other, long now) {
+    if (isSilent(now) != other.isSilent(now)) {
+      return !isSilent(now);
+    }
+    if (state != other.state) {
+      return state == State.BODY_ARRIVING;
+    }
+    return lastArrivalAt > other.lastArrivalAt;
+  }
+
+  /** Returns for how long the upstream has sent nothing more of a passed-on answer whose client's time is up; 0 for any other. */
+  long overtimeSilenceNanos(long now) {
+    boolean overtime = state == State.PASSED_ON && !paused && now >= clientDeadline;
+    return overtime ? now - lastArrivalAt : 0;
   }
 
   /** Returns when {@link #next} has to be asked again if nothing happens before; Long.MAX_VALUE for never. */
@@ -210,15 +213,11 @@
     if (paused) {
       return Long.MAX_VALUE;
     }
-    long silenceEnd = lastArrivalAt + MAX_SILENCE_NANOS;
+    long at = lastArrivalAt + (suspected ? IDLE_TIMEOUT_NANOS : SUSPICION_NANOS);
     if (state == State.PASSED_ON) {
-      return Math.min(silenceEnd, now < clientDeadline ? clientDeadline : overtimeEnd());
-    }
-    long at = Math.min(silenceEnd, clientDeadline);
-    if (!suspected) {
-      at = Math.min(at, lastArrivalAt + SUSPICION_NANOS);
+      return at;
     }
-    return mayPassOn() && now < passOnAt() ? Math.min(at, passOnAt()) : at;
+    return Math.min(at, canPassOn() && now < passOnAt() ? passOnAt() : clientDeadline);
   }
 
   /** Returns the present state. */
--- a/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
@@ -34,6 +34,11 @@
     /** Called when the first part of an answer has arrived: the attempt's time-out is replaced by the client's time. */
     default void answerArriving(UpstreamAttempt attempt) {}
 
+    /** Returns which attempt of the same request to pass on now, this one being due. */
+    default UpstreamAttempt likeliestToEnd(UpstreamAttempt attempt) {
+      return attempt;
+    }
+
     /** Called when an answer that has begun is suspected to have stopped. The attempt goes on. */
     default void answerStalled(UpstreamAttempt attempt) {}
   }
@@ -166,11 +171,7 @@
     switch (step) {
       case WAIT -> {}
       case SUSPECT -> suspect();
-      case PASS_ON -> {
-        if (!passOn(progress.passOnReason(now))) {
-          progress.passOnDeclined();
-        }
-      }
+      case PASS_ON -> passOnLikeliest(progress.passOnReason(now));
       default -> {
         Status proven = statusOfHead();
         end(step.reason(), proven == null ? step.status() : proven, null);
@@ -179,6 +180,43 @@
     scheduleCheck();
   }
 
+  private void passOnLikeliest(PassOnReason reason) {
+    UpstreamAttempt likeliest = observer.likeliestToEnd(this);
+    while (!likeliest.startPassingOn(reason) && likeliest != this) {
+      likeliest = observer.likeliestToEnd(this);
+    }
+    if (likeliest != this) {
+      progress.passOnDeclined();
+    }
+  }
+
+  /** Passes on what has arrived of the answer and what follows; returns false if that is not possible, also later. */
+  public final boolean startPassingOn(PassOnReason reason) {
+    if (!canPassOn()) {
+      return false;
+    }
+    boolean started = passOn(reason);
+    if (!started) {
+      progress.passOnDeclined();
+    }
+    return started;
+  }
+
+  /** Returns whether the head of a usable answer has arrived, and it was neither passed on nor declined. */
+  public final boolean canPassOn() {
+    return status == null && progress.canPassOn() && statusOfHead() == null;
+  }
+
+  /** Returns whether this answer, of two that can be passed on, is likelier to end. */
+  public final boolean isLikelierToEndThan(UpstreamAttempt other) {
+    return progress.isLikelierToEndThan(other.progress, clock.now());
+  }
+
+  /** Returns for how long the upstream has sent nothing more of a passed-on answer whose client's time is up; 0 for any other. */
+  public final long overtimeSilenceNanos() {
+    return status == null ? progress.overtimeSilenceNanos(clock.now()) : 0;
+  }
+
   private void suspect() {
     Status proven = statusOfHead();
     if (proven != null) {
@@ -228,8 +266,8 @@
   }
 
   /** Records that a part of the answer has arrived, of whose body {@code totalBodyBytes} have arrived so far. */
-  public final void answerArrived(long totalBodyBytes) {
-    if (progress.arrived(totalBodyBytes, clock.now())) {
+  public final void answerArrived(boolean headComplete, long totalBodyBytes) {
+    if (progress.arrived(headComplete, totalBodyBytes, clock.now())) {
       observer.answerArriving(this);
     }
     // Later: the read that brought it may have found the connection broken behind it.
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -331,7 +331,8 @@
         new AnswerStart(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length),
         this::flow,
         reason);
-    if (sink != null && body.size() > 0) {
+    // With an empty one the client gets the head.
+    if (sink != null && (body.size() > 0 || reason == PassOnReason.TIME_ALMOST_UP)) {
       sink.onChunk(Unpooled.wrappedBuffer(body.toBytes()));
       body.clear();
     }
@@ -353,7 +354,7 @@
       // A read that only finds the connection broken ends here as well.
       if (rawBytesReceived > rawBytesAtLastRead) {
         rawBytesAtLastRead = rawBytesReceived;
-        attempt.answerArrived(bodyBytesReceived);
+        attempt.answerArrived(response != null && !isInterim(), bodyBytesReceived);
       }
     }
   }
--- a/src/test/java/pumicekeel/node/TestClient.java
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -11,6 +11,7 @@
 final class TestClient implements Closeable {
 
   private static final int TIMEOUT_MILLIS = 30_000;
+  private static final int SHORT_WAIT_MILLIS = 50;
 
   private final Socket socket = new Socket();
   private final DataInputStream in;
@@ -51,6 +52,27 @@
         Integer.parseInt(lower.substring(9, 12)), lower, new String(body, StandardCharsets.UTF_8));
   }
 
+  /** Reads the head of an answer, in lower case. */
+  String readHead() throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+      head.append((char) in.readUnsignedByte());
+    }
+    return head.toString().toLowerCase();
+  }
+
+  /** Returns whether the connection is still open after a short while in which more of an answer may be read. */
+  boolean isOpen() throws IOException {
+    socket.setSoTimeout(SHORT_WAIT_MILLIS);
+    try {
+      return in.read() >= 0;
+    } catch (java.net.SocketTimeoutException e) {
+      return true;
+    } finally {
+      socket.setSoTimeout(TIMEOUT_MILLIS);
+    }
+  }
+
   int readByte() throws IOException {
     return in.read();
   }
--- a/src/test/java/pumicekeel/rig/soak/OvertimeAnswersTest.java
+++ b/src/test/java/pumicekeel/rig/soak/OvertimeAnswersTest.java
@@ -15,6 +15,13 @@
     assertRulesHold(SoakPlan.overtimeAnswers(seed));
   }
 
+  /** Beside SIGHUP, SIGTERM, a kill at its earliest, a leaving upstream and slow readers. */
+  @ParameterizedTest
+  @ValueSource(longs = {6715, 6743})
+  void rulesHoldBesideSignalsAndAnswersThatOutlastTheirClientsTime(long seed) throws Exception {
+    assertRulesHold(SoakPlan.overtimeAnswers(seed));
+  }
+
   /** Beside signals, a leaving upstream, a crowd and slow readers. */
   @ParameterizedTest
   @ValueSource(longs = {6709, 6749})
