A stream that stalls is no load of its upstream, nor is its length a latency

What callers would see: with answers passed on until their end, an upstream whose streams stall looks full for up to 60 s and gets nothing (request 14 of 60 not sent to it), and a stream that breaks after 60 s adds a latency of 60 s, so that others are refused. Cause: AdaptiveBalancer.onAnswerStalled left streams alone, and addFailureSample took the time since the request's arrival, which for a stream is its length; 300 ms of silence had bounded both. Change: a stream that is silent for 300 ms is reported once and then no longer counts as work of its upstream; it is neither a failure nor copied. A stream that breaks counts with the time until it began, as one that ends whole does.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -613,15 +613,19 @@
     scheduleCheck(r);
   }
 
-  /** Counts an answer that may have stopped as a failure and no longer as load, and makes another attempt. */
+  /** Counts an answer that may have stopped as a failure and no longer as load, and makes another attempt; one that is
+   * being passed on is only no longer load. */
   private void onAnswerStalled(PendingRequest r, int attempt) {
     Attempt a = r.attempts.get(attempt);
+    if (r.streaming) {
+      releaseLoad(r, a);
+    }
     if (!a.inFlight || a.suspected || r.ended || r.streaming) {
       return;
     }
     a.suspected = true;
     releaseLoad(r, a);
-    addFailureSample(r, Status.RESET);
+    addFailureSample(r, Status.RESET, 0);
     a.upstream.recordFailure(now, random);
     copySuspected(r);
   }
@@ -761,18 +765,19 @@
         && o.status() != Status.FULL) {
       if (!r.bodyPending) {
         // With the body still arriving, the elapsed time is the client's and says nothing of load.
-        addFailureSample(r, o.status());
+        addFailureSample(r, o.status(), r.streaming ? overhead : 0);
       }
       u.recordFailure(now, random);
     }
   }
 
-  private void addFailureSample(PendingRequest r, Status status) {
+  /** Adds a sample of a failure; {@code overhead} is the time that is not its upstream's latency. */
+  private void addFailureSample(PendingRequest r, Status status, long overhead) {
     if (status == Status.RESET || status == Status.ERROR) {
       // Its latency, but at least one aim, for errors the critical ratio. More would count broken
       // connections, corrupt answers or one upstream's errors as load.
       double minimum = status == Status.RESET ? 1 : MAX_RATIO;
-      addSample(r, Math.max(minimum, (double) (now - r.arrived) / r.type.aimNanos()));
+      addSample(r, Math.max(minimum, (double) (now - r.arrived - overhead) / r.type.aimNanos()));
     } else if (status != Status.CONNECT_FAILED) {
       // A time-out counts as its class's deadline.
       addSample(r, (double) r.type.deadlineNanos() / r.type.aimNanos());
--- a/src/test/java/pumicekeel/SlowAnswerTest.java
+++ b/src/test/java/pumicekeel/SlowAnswerTest.java
@@ -12,6 +12,7 @@
 import pumicekeel.Balancer.Action;
 import pumicekeel.Balancer.AnswerArriving;
 import pumicekeel.Balancer.AnswerStalled;
+import pumicekeel.Balancer.AnswerStarted;
 import pumicekeel.Balancer.Cancel;
 import pumicekeel.Balancer.DedupScope;
 import pumicekeel.Balancer.Effect;
@@ -23,6 +24,7 @@
 class SlowAnswerTest {
 
   private static final String ID = "slow";
+  private static final int STREAMS = 60;
 
   private static Driver driver(Effect effect) {
     return new Driver(
@@ -140,6 +142,48 @@
     assertEquals(6, d.outstanding.size());
   }
 
+  @Test
+  void streamsThatStallDoNotCountAsLoadNorAsFailuresOfTheirUpstream() {
+    Driver d = new Driver(Driver.safe()).upstreams(1);
+    for (int i = 0; i < STREAMS; i++) {
+      String id = "s" + i;
+      long upstream = Driver.sentTo(d.request(id, "c", "k"));
+      assertNotEquals(-1, upstream, "request " + i);
+      d.handle(new AnswerArriving(id, 0, d.now + 2_500 * Driver.MS));
+      d.handle(new AnswerStarted(id, 0, upstream, Driver.MS));
+      assertEquals(-1, Driver.sentTo(d.handle(new AnswerStalled(id, 0))), "not copied");
+      for (int j = 0; j < 10; j++) {
+        d.serve("k", 10 * Driver.MS);
+      }
+    }
+    assertEquals(STREAMS, d.outstanding.size());
+  }
+
+  /** The time that a stream takes is no latency: where it breaks long after its start, others are admitted as before. */
+  @Test
+  void streamThatBreaksLateDoesNotMakeOthersBeRefused() {
+    Driver d = new Driver(Driver.safe()).upstreams(4);
+    List<Driver.Sent> streams = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      String id = "s" + i;
+      long upstream = Driver.sentTo(d.request(id, "c", "k" + i));
+      d.handle(new AnswerStarted(id, 0, upstream, Driver.MS));
+      d.handle(new AnswerStalled(id, 0));
+    }
+    streams.addAll(d.outstanding);
+    d.advance(60_000 * Driver.MS);
+    for (int i = 0; i < 40; i++) {
+      assertNotEquals(-1, d.serve("k" + i, Driver.MS), "before");
+    }
+    for (Driver.Sent stream : streams) {
+      d.end(stream, Status.RESET, Driver.MS);
+      d.advance(20 * Driver.MS);
+      for (int i = 0; i < 5; i++) {
+        assertNotEquals(-1, d.serve("k" + i, Driver.MS), "after the end of " + stream);
+      }
+    }
+  }
+
   @Test
   void upstreamOfAnswersThatComeInTheEndIsUsedAgain() {
     Driver d = new Driver(Driver.safe()).upstreams(4);
