Soak's judge: an answer that gave way to one that the stop ends is no sound cut

The end by the stop is allowed and was allowed by the judge; the cancelled one was reported all the same. The trace (RECEIVED at two servers, SOUND_CUT of the first as the second is passed on, STOPPING 0.4 s behind the last deadline) shows the case as allowed: an answer that gives way to another is judged by that one, as where the upstream breaks that. SoakJudgeTest: without the stop both are reported.

--- a/src/main/java/pumicekeel/rig/soak/SoakJudge.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakJudge.java
@@ -288,7 +288,8 @@
               && deadline - h.atNanos()
                   > HEAD_IN_TIME_NANOS
                       + lateness.nanos(sent.source(), sent.atNanos(), h.atNanos()));
-      boolean givenUpForAnother = begun && brokenByUpstream(events);
+      boolean givenUpForAnother =
+          begun && (brokenByUpstream(events) || clientSawStop(events, sent.source()));
       boolean allowed = givenUpForAnother || endedByStop(sent.source(), e.atNanos());
       if ((earlyNanos > 0 || begun || headInTime) && !allowed) {
         report(
@@ -306,6 +307,12 @@
         .anyMatch(e -> e.type() == EventType.GIVEN_UP && !e.text().isEmpty());
   }
 
+  /** Returns whether the answer that was passed on ended with the process. */
+  private boolean clientSawStop(List<Event> events, String clients) {
+    Event closed = first(events, EventType.CLOSED);
+    return closed != null && endedByStop(clients, closed.atNanos());
+  }
+
   private boolean endedByStop(String clients, long atNanos) {
     long lastNanos = TimeUnit.MILLISECONDS.toNanos(settings.longMillis());
     return circumstances.stopped().stream()
--- a/src/test/java/pumicekeel/rig/soak/SoakJudgeTest.java
+++ b/src/test/java/pumicekeel/rig/soak/SoakJudgeTest.java
@@ -328,6 +328,25 @@
     assertEquals(List.of(), violatedRules());
   }
 
+  @Test
+  void soundAnswerThatGaveWayToAnotherOneIsNotReportedIfTheStopEndsThat() {
+    sent("r", "rate-lookup", 1_000);
+    received(10, "r", "s0", 900);
+    received(310, "r", "s1", 600);
+    soundCut(400, "r", "s0");
+    begun(401, "r");
+    soundCut(1_400, "r", "s1");
+    at(1_401, "r", "c", EventType.CLOSED, 0, "new connection, end of stream");
+    assertEquals(List.of(Rule.SOUND_ANSWER_CUT, Rule.SOUND_ANSWER_CUT), violatedRules());
+    assertEquals(
+        List.of(),
+        violatedRules(new SoakJudge.Circumstances(
+            List.of(),
+            List.of(new SoakJudge.Stopped("c", SENT_AT_NANOS - 1_000 * NANOS_PER_MILLI)),
+            false,
+            false)));
+  }
+
   @Test
   void streamThatItsUpstreamEndsIsTruncatedSoon() {
     for (long upstreamEnd : List.of(800L, 1_000L, 1_600L)) {
