Credit each connection of one accepting read with its wait in the backlog

Cause: one read accepts up to 16 connections and opens them afterwards. For the first of them HttpFront.backlogWaitNanos saw the backlog empty and reset the wait (AcceptControl.backlogEmpty), so the others counted as not having waited at all. At the limit a crowd makes connections wait for 0.25 to 0.3 s, until idle ones give way, and these are accepted together. Change: a connection that was accepted before the backlog was last seen empty has the wait that was in force until then.

--- a/src/main/java/pumicekeel/front/AcceptControl.java
+++ b/src/main/java/pumicekeel/front/AcceptControl.java
@@ -48,6 +48,11 @@
   /** Since when connections may have waited in the kernel's backlog; 0 if none has. */
   private long waitingSince;
 
+  /** When the backlog was last seen empty; 0 for never. */
+  private long emptySeenAt;
+  /** Since when connections may have waited that were accepted before that; 0 if none has. */
+  private long waitingSinceBeforeEmpty;
+
   /** The backlog can be observed: it counts as drained once seen empty, not after a fixed time. */
   private boolean backlogObservable;
 
@@ -180,9 +185,24 @@
 
   /** Records that the backlog is empty now. */
   public void backlogEmpty(long now) {
+    emptySeenAt = now;
+    waitingSinceBeforeEmpty = waitingSince;
     waitingSince = acceptingSince == 0 ? now : 0;
   }
 
+  /**
+   * Returns whether a connection accepted at this time had left the backlog when that was last seen empty: one read accepts several, and
+   * the backlog is observed for the first of them.
+   */
+  public boolean leftBeforeEmpty(long acceptedAt) {
+    return emptySeenAt != 0 && acceptedAt - emptySeenAt <= 0;
+  }
+
+  /** Returns the longest time that such a connection may have waited in the backlog. */
+  public long waitBeforeEmptyNanos(long now) {
+    return waitingSinceBeforeEmpty == 0 ? 0 : now - waitingSinceBeforeEmpty;
+  }
+
   /**
    * Returns the longest time that a connection accepted now may have waited in the backlog; its client's time limit
    * ran meanwhile. If the backlog cannot be observed, a connection is assumed to be freed within the time given to the
--- a/src/main/java/pumicekeel/front/http/HttpFront.java
+++ b/src/main/java/pumicekeel/front/http/HttpFront.java
@@ -278,7 +278,7 @@
     connections.add(handler);
     acceptControl.accepted();
     handler.accepted(
-        Math.max(backlogWaitNanos(now), lag.maxReadDelayNanos()) + waitedNanos,
+        Math.max(backlogWaitNanos(now, now - waitedNanos), lag.maxReadDelayNanos()) + waitedNanos,
         pending(channel) == Sockets.Pending.SOME);
     if (connections.size() >= acceptControl.limit()) {
       connections.stream()
@@ -288,11 +288,14 @@
     }
   }
 
-  private long backlogWaitNanos(long now) {
+  private long backlogWaitNanos(long now, long acceptedAt) {
     if (listener == null) {
       // Accepted before the bind returned.
       return 0;
     }
+    if (acceptControl.leftBeforeEmpty(acceptedAt)) {
+      return acceptControl.waitBeforeEmptyNanos(now);
+    }
     Sockets.Backlog backlog = reactor.sockets().backlog(listener);
     long waited = acceptControl.maxBacklogWaitNanos(now, backlog != Sockets.Backlog.UNKNOWN);
     if (backlog == Sockets.Backlog.EMPTY) {
--- a/src/test/java/pumicekeel/front/AcceptControlTest.java
+++ b/src/test/java/pumicekeel/front/AcceptControlTest.java
@@ -100,6 +100,23 @@
     assertFalse(control.mayHaveBacklog());
   }
 
+  @Test
+  void allConnectionsOfOneReadHaveTheWaitOfTheBacklogThatTheyLeft() {
+    control.limitReached(now);
+    now += 250 * MS;
+    long acceptedAt = now;
+    control.accepting(now);
+    assertFalse(control.leftBeforeEmpty(acceptedAt), "the first one of a read");
+    assertEquals(250 * MS, control.maxBacklogWaitNanos(now, true));
+    control.backlogEmpty(now);
+    now += MS;
+    assertTrue(control.leftBeforeEmpty(acceptedAt), "the next ones");
+    assertEquals(251 * MS, control.waitBeforeEmptyNanos(now));
+    assertFalse(control.leftBeforeEmpty(now), "one that is accepted later");
+    control.backlogEmpty(now);
+    assertEquals(0, control.waitBeforeEmptyNanos(now), "no backlog before");
+  }
+
   @Test
   void backlogBeyondOneTurnCountsThoughAcceptingNeverStopped() {
     control.accepting(now);
