Answers that stall give way to new requests where sockets to upstreams are short

What callers would see: answers that stop for good are held for up to 60 s now, and 14 of them take all 14 connections to upstreams that 60 sockets allow; new requests are refused until the idle time-out, 61 s in the test. Change: where no socket is left and no idle connection can be closed, the answer that has been silent for longest behind its client's time ends (GIVES_WAY, its client sees a cut), if it has been silent for 3 s, the longest deadline of a client; the same at an upstream's own limit and where descriptors run out. Nobody is cut while there is room. At the usual shares the upstreams' sockets run out before the clients'. Test: answersThatStallGiveWayToNewRequestsWhereSocketsAreShort, with real sockets.

--- a/src/main/java/pumicekeel/guard/AttemptEnd.java
+++ b/src/main/java/pumicekeel/guard/AttemptEnd.java
@@ -24,6 +24,8 @@
   TIME_UP(true),
   /** The answer began and then brought nothing for too long. */
   SILENT(true),
+  /** The answer brought nothing for long, and its connection was needed for another request. */
+  GIVES_WAY(true),
   /** The answer was malformed, or had data behind its end. */
   MALFORMED(true),
   /** The answer was larger than the protocol allows. */
--- a/src/main/java/pumicekeel/upstream/SocketUser.java
+++ b/src/main/java/pumicekeel/upstream/SocketUser.java
@@ -16,4 +16,12 @@
 
   /** Closes the connection that has been idle longest; returns false if none is idle. */
   boolean closeLongestIdle();
+
+  /**
+   * Ends the passed-on answer whose upstream has sent nothing for longest since its client's time was up, at this address or, if that is
+   * null, at any; returns false if none has been silent for long.
+   */
+  default boolean endLongestSilent(InetSocketAddress address) {
+    return false;
+  }
 }
--- a/src/main/java/pumicekeel/upstream/UpstreamSockets.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamSockets.java
@@ -5,11 +5,13 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import pumicekeel.pool.SharedCapacity;
 
 /**
  * The sockets to upstreams that a process may hold, shared by the pools' connections. An idle connection is closed in favour of a new
- * one: first one of the pool's own, then one of a pool that borrows. A physical upstream is identified by its address here, whatever the
+ * one: first one of the pool's own, then one of a pool that borrows; if none is idle, one whose answer has been silent for long behind its
+ * client's time. A physical upstream is identified by its address here, whatever the
  * pools call it, and connections to it are counted over all of them.
  */
 public final class UpstreamSockets {
@@ -43,13 +45,13 @@
   public boolean acquire(SocketUser pool, InetSocketAddress address) {
     if (pool.maxPerAddress() > 0
         && openConnections(address) >= pool.maxPerAddress()
-        && pools.stream().noneMatch(p -> p.closeIdleAt(address))) {
+        && pools.stream().noneMatch(p -> p.closeIdleAt(address))
+        && pools.stream().noneMatch(p -> p.endLongestSilent(address))) {
       return false;
     }
     if (!pool.share().tryAcquire(1)) {
-      if (!pool.closeLongestIdle()
-          && pools.stream()
-              .noneMatch(p -> p != pool && p.share().isBorrowing() && p.closeLongestIdle())) {
+      if (!releaseOne(pool, SocketUser::closeLongestIdle)
+          && !releaseOne(pool, p -> p.endLongestSilent(null))) {
         return false;
       }
       // The share of the closed connection may be released only after this.
@@ -59,6 +61,12 @@
     return true;
   }
 
+  /** Has this pool release a socket, or else one that borrows. */
+  private boolean releaseOne(SocketUser pool, Predicate<SocketUser> releases) {
+    return releases.test(pool)
+        || pools.stream().anyMatch(p -> p != pool && p.share().isBorrowing() && releases.test(p));
+  }
+
   public void release(SocketUser pool, InetSocketAddress address) {
     pool.share().release(1);
     openByAddress.computeIfPresent(address, (k, n) -> n == 1 ? null : n - 1);
--- a/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
+++ b/src/main/java/pumicekeel/upstream/http/ConnectionPool.java
@@ -9,6 +9,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -28,6 +29,9 @@
    */
   private static final double IDLE_FRACTION = 0.7;
 
+  /** A passed-on answer gives way only after this silence behind its client's time: the longest deadline of a client. */
+  private static final long MIN_SILENCE_TO_GIVE_WAY_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private static final int SWEEPS_PER_IDLE_LIMIT = 20;
   /** Lower bound of the sweep period, however short the idle limit is: a sweep visits all upstreams. */
   private static final long MIN_SWEEP_PERIOD_NANOS = 1_000_000;
@@ -47,6 +51,7 @@
   private int maxPerAddress;
   private long idleNanos;
   private final Set<UpstreamPool> pools = new LinkedHashSet<>();
+  private final Set<UpstreamConnection> open = new LinkedHashSet<>();
   /** The next sweep for connections that have been idle too long; null while none is idle, so that an unused pool costs nothing. */
   private Future<?> sweep;
 
@@ -118,7 +123,9 @@
     if (channel == null) {
       sockets.release(this, pool.address());
       // Its descriptor is then available to the next attempt.
-      closeLongestIdle();
+      if (!closeLongestIdle()) {
+        endLongestSilent(null);
+      }
       return null;
     }
     ChannelFuture connecting = bootstrap
@@ -130,6 +137,8 @@
             AnswerDecoder decoder = new AnswerDecoder();
             UpstreamConnection connection = new UpstreamConnection(pool, reactor, channel, decoder);
             decoder.setRawFilter(connection::accepts);
+            open.add(connection);
+            channel.closeFuture().addListener(closed -> open.remove(connection));
             channel.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
           }
         })
@@ -189,6 +198,19 @@
     }
   }
 
+  @Override
+  public boolean endLongestSilent(InetSocketAddress address) {
+    UpstreamConnection longest = open.stream()
+        .filter(c -> address == null || address.equals(c.address()))
+        .max(Comparator.comparingLong(UpstreamConnection::overtimeSilenceNanos))
+        .orElse(null);
+    if (longest == null || longest.overtimeSilenceNanos() < MIN_SILENCE_TO_GIVE_WAY_NANOS) {
+      return false;
+    }
+    longest.giveWay();
+    return true;
+  }
+
   @Override
   public boolean closeLongestIdle() {
     UpstreamConnection oldest = null;
--- a/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/upstream/http/UpstreamConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import pumicekeel.Balancer.Status;
@@ -359,6 +360,20 @@
     }
   }
 
+  /** Returns for how long its upstream has sent nothing more of a passed-on answer whose client's time is up; 0 for any other. */
+  long overtimeSilenceNanos() {
+    return attempt == null ? 0 : attempt.overtimeSilenceNanos();
+  }
+
+  InetSocketAddress address() {
+    return pool.address();
+  }
+
+  /** Ends its attempt and closes, in favour of another request. */
+  void giveWay() {
+    fail(AttemptEnd.GIVES_WAY);
+  }
+
   /** Returns whether the connection carries this attempt. */
   boolean carries(UpstreamAttempt other) {
     return attempt == other;
--- a/src/test/java/pumicekeel/node/MalformedAnswerTest.java
+++ b/src/test/java/pumicekeel/node/MalformedAnswerTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -159,6 +162,51 @@
     }
   }
 
+  /** The sockets allow 15 clients and 14 connections to upstreams. */
+  @Test
+  void answersThatStallGiveWayToNewRequestsWhereSocketsAreShort() throws Exception {
+    int stalled = 14;
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> FakeServer.write(
+        out,
+        request.contains("X-Correlation-Id: stalled")
+            ? "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+            : FakeServer.ok("fine")))) {
+      TestNode node = new TestNode(TestNode.json(TestNode.unusedAddress(), 1, upstream)
+          .replace("\"sockets\":1024", "\"sockets\":60"));
+      List<TestClient> clients = new ArrayList<>();
+      try {
+        for (int i = 0; i < stalled; i++) {
+          TestClient client = new TestClient(node.address);
+          clients.add(client);
+          client.send(TestClient.order("stalled" + i, SHORT_TIME_MILLIS));
+        }
+        for (TestClient client : clients) {
+          assertTrue(client.readHead().startsWith("http/1.1 200"));
+        }
+        for (int served = 0, i = 0; served < 2; i++) {
+          try (TestClient client = new TestClient(node.address)) {
+            served +=
+                client.call(TestClient.order("new" + i, SHORT_TIME_MILLIS)).status() == 200 ? 1 : 0;
+          }
+        }
+        assertEquals(
+            stalled - 1, clients.stream().filter(MalformedAnswerTest::isOpen).count());
+      } finally {
+        for (TestClient client : clients) {
+          client.close();
+        }
+      }
+    }
+  }
+
+  private static boolean isOpen(TestClient client) {
+    try {
+      return client.isOpen();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   @Test
   void answerWhoseBodyComesBehindItsClientsTimeArrivesWhole() throws Exception {
     try (FakeServer upstream = new FakeServer((request, connection, out) -> {
