JSON-RPC: an answer that has begun has its client's whole time, 3 s of silence end it

What callers saw: a call whose answer had begun was ended by the module's deadline, up to 1 s before its client's time, and 2 s without a byte within an answer ended the connection and all its calls. Change: bytes of an unfinished frame belong to the only open call, which then has its client's time; with several open calls it is not known whose they are, and the module's deadline stays. The silence is the longest deadline of a client (3 s), so calls within it end by their own time. A call with more time loses its connection after 3 s and may be sent again: an answer of this protocol can't be passed on in part, and a server that stops half way must not cost it all its time (RpcServersTest 'half'). Test before: gapWithinAnAnswerDoesNotEndIt RESET, answerThatHasBegunHasIts- ClientsWholeTime TIMEOUT. After: both served. answerThatStopsIsSuspectedFirst... now ends by the call's own time-out, and its connection is closed then.

--- a/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
+++ b/src/main/java/pumicekeel/upstream/jsonrpc/RpcConnection.java
@@ -46,8 +46,8 @@
   private static final MessageReader READER = new MessageReader(LIMITS);
   /** Silence within an answer after which its connection takes no new calls and its open calls may be sent elsewhere. */
   private static final long SUSPICION_MILLIS = 300;
-  /** Silence within an answer that ends its connection: no other call on it is answered before the rest comes. */
-  private static final long MAX_SILENCE_MILLIS = 2_000;
+  /** Silence within an answer that ends its connection: the longest deadline, so that calls within it end by their own time-outs. */
+  private static final long MAX_SILENCE_MILLIS = 3_000;
   /**
    * If a call is not written within this time, the server does not read. No call may be sent after the drain grace, and the core sends
    * until 200 ms before its end.
@@ -357,9 +357,20 @@
     if (!closed && answerTimer == null && decoder.hasBufferedBytes()) {
       scheduleAnswerCheck(SUSPICION_MILLIS);
     }
+    if (!closed && decoder.hasBufferedBytes()) {
+      reportArriving();
+    }
     ctx.fireChannelReadComplete();
   }
 
+  /** Gives the call of an answer that has begun its client's whole time; with several open calls, it is not known whose it is. */
+  private void reportArriving() {
+    boolean only = open.size() == 1 && abandoned.isEmpty();
+    List.copyOf(open.values()).stream()
+        .filter(attempt -> only || attempt.answerBegun())
+        .forEach(attempt -> attempt.answerArrived(false, 0));
+  }
+
   private void scheduleAnswerCheck(long millis) {
     answerTimer =
         channel.eventLoop().schedule(this::checkPartialAnswer, millis, TimeUnit.MILLISECONDS);
