--- a/src/main/java/pumicekeel/rig/soak/SoakRun.java
+++ b/src/main/java/pumicekeel/rig/soak/SoakRun.java
@@ -252,10 +252,7 @@
   private void finish() throws IOException, InterruptedException {
     balancers.forEach(b -> b.clients().stopSending());
     boolean slow = plan.has(Disturbance.SLOW_ANSWERS) || plan.has(Disturbance.SLOW_UPLOADS);
-    long overtimeMillis = slow
-        ? Math.max(
-            SoakClients.MAX_OVERTIME_MILLIS, plan.settings().longMillis() + MAX_UPLOAD_MILLIS)
-        : 0;
+    long overtimeMillis = slow ? MAX_UPLOAD_MILLIS + SoakClients.MAX_OVERTIME_MILLIS : 0;
     pause(overtimeMillis
         + plan.settings().longMillis()
         + SoakJudge.ANSWER_SLACK_NANOS / NANOS_PER_MILLI
