--- a/src/main/java/pumicekeel/core/BalancerCore.java
+++ b/src/main/java/pumicekeel/core/BalancerCore.java
@@ -73,8 +73,11 @@
   private static final double LATE_AIMS = 1.25;
   /** How long after the module's deadline the core itself answers a request that the module left unanswered. */
   private static final long MODULE_GRACE_NANOS = 20_000_000L;
-  /** How long streams may outlast the deadline of a stop: SIGKILL comes 0.7 s after it at the earliest. */
-  private static final long STREAM_STOP_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+  /**
+   * How long streams may outlast the deadline of a stop: SIGKILL comes 0.7 s after it at the earliest, and a process may be held up for
+   * 0.15 s.
+   */
+  private static final long STREAM_STOP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   /** Time for the largest body at half the minimum rate of clients; the front ends slower uploads. */
   private static final long MAX_UPLOAD_NANOS = TimeUnit.MINUTES.toNanos(20);
 
