A client that reads nothing for some seconds keeps its answer while there is room

Cause: ClientLimits ended any client of which nothing was taken for 5 s (STUCK). Bytes are taken from the outbound buffer only once a third of the socket's buffer is free, so a client that reads steadily at the 32 kB/s that it owes looks stuck for longer than that. Change: 60 s, the usual default of HTTP servers, as for a silent upstream; 5 s as before while over half of the connections are in use or memory is short, which is what the bound is for. Test: clientThatReadsNothingForSomeSecondsGetsItsWholeAnswer, EOF before, whole after.

--- a/src/main/java/pumicekeel/front/http/ClientLimits.java
+++ b/src/main/java/pumicekeel/front/http/ClientLimits.java
@@ -56,8 +56,13 @@
    * sender would occupy a socket for nothing.
    */
   private static final long MAX_DISCARD_NANOS = 250 * NANOS_PER_MILLI;
-  /** A client that has read nothing of its answer for this long is disconnected. */
-  static final long MAX_WRITE_STALL_NANOS = 5_000 * NANOS_PER_MILLI;
+  /**
+   * A client that has read nothing of its answer for this long is disconnected; the usual default of HTTP servers. A client that reads
+   * steadily on a slow link frees its full socket buffers only every some ten seconds.
+   */
+  static final long MAX_WRITE_STALL_NANOS = 60_000 * NANOS_PER_MILLI;
+  /** The same if there are many connections or memory is short. */
+  static final long MAX_WRITE_STALL_WHEN_SHORT_NANOS = 5_000 * NANOS_PER_MILLI;
 
   private final EventLoop loop;
   private final HttpFront front;
@@ -80,9 +85,12 @@
       return;
     }
     long now = front.clock().now();
+    long maxWriteStallNanos = hasManyConnections() || front.memory().isShort()
+        ? MAX_WRITE_STALL_WHEN_SHORT_NANOS
+        : MAX_WRITE_STALL_NANOS;
     front.check(now);
     for (ClientHandler c : front.connections()) {
-      if (c.writeStalledNanos(now) > MAX_WRITE_STALL_NANOS
+      if (c.writeStalledNanos(now) > maxWriteStallNanos
           || c.discardingNanos(now) > (c.hasUpload() ? MAX_CHUNK_GAP_NANOS : MAX_DISCARD_NANOS)) {
         c.abort(c.discardingNanos(now) > 0 ? CloseReason.SKIPPED_TOO_MUCH : CloseReason.STUCK);
       } else if (c.uploadOverdue(now)) {
@@ -110,9 +118,11 @@
     if (c.neverRequested()) {
       return full() ? MAX_SILENT_NANOS : MAX_HEAD_NANOS;
     }
-    return front.openConnections() > front.maxConnections() * MANY_CONNECTIONS_RATIO
-        ? MAX_IDLE_NANOS
-        : MAX_IDLE_WHEN_FEW_NANOS;
+    return hasManyConnections() ? MAX_IDLE_NANOS : MAX_IDLE_WHEN_FEW_NANOS;
+  }
+
+  private boolean hasManyConnections() {
+    return front.openConnections() > front.maxConnections() * MANY_CONNECTIONS_RATIO;
   }
 
   private boolean full() {
--- a/src/test/java/pumicekeel/node/LargeBodyTest.java
+++ b/src/test/java/pumicekeel/node/LargeBodyTest.java
@@ -31,6 +31,7 @@
 /** Request and response bodies too large to buffer are streamed unchanged, or visibly cut off. */
 class LargeBodyTest {
 
+  private static final long READING_PAUSE_MILLIS = 7_000;
   private static final int MIB = 1 << 20;
 
   /** An upstream at byte level: passes each request's head and body and the connection to the test's behaviour. */
@@ -271,6 +272,28 @@
     }
   }
 
+  @Test
+  void clientThatReadsNothingForSomeSecondsGetsItsWholeAnswer() throws Exception {
+    byte[] body = randomBytes(16 * MIB, 5);
+    try (ByteUpstream upstream = new ByteUpstream((head, none, connection) -> {
+      OutputStream out = connection.getOutputStream();
+      out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n"));
+      out.write(body);
+    })) {
+      TestNode node = node(1, upstream);
+      try (Socket socket = new Socket()) {
+        socket.setReceiveBufferSize(64 << 10);
+        socket.setSoTimeout(30_000);
+        socket.connect(node.address);
+        socket.getOutputStream().write(ascii(TestClient.look("a", 15_000, "")));
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        String head = readHead(in);
+        TimeUnit.MILLISECONDS.sleep(READING_PAUSE_MILLIS);
+        assertArrayEquals(body, readBody(head, in));
+      }
+    }
+  }
+
   @Test
   void disconnectDuringALargeAnswerFreesItsUpstream() throws Exception {
     CountDownLatch broken = new CountDownLatch(1);
