--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -243,13 +243,6 @@
 
   // Admission: linear throttling by latency
 
-  /** Returns a rate falling linearly from maxRate at minValue or less to minRate at maxValue or more. */
-  static double allowedRate(
-      double mean, double minValue, double maxValue, double maxRate, double minRate) {
-    double part = Math.min(1, Math.max(0, (mean - minValue) / (maxValue - minValue)));
-    return maxRate + part * (minRate - maxRate);
-  }
-
   private void onRequest(Request request) {
     RequestClass type =
         (request.usesPreviousSettings() ? previousClasses : classes).get(request.className());
@@ -299,8 +292,8 @@
     double mean = Math.max(own.mean(now, MIN_SAMPLES), fleet.mean(now, MIN_SAMPLES));
     double maxRate = own.totalOfSamples(now, Metric.OFFERED, MIN_SAMPLES) * RATE_HEADROOM;
     double scale = r.excess ? EXCESS_PART + (1 - EXCESS_PART) * settings.overShareWorth() : 1;
-    double allowed =
-        allowedRate(mean, MIN_RATIO * scale, MAX_RATIO * scale, maxRate, maxRate * MIN_RATE_PART);
+    double allowed = LinearThrottle.allowedRate(
+        mean, MIN_RATIO * scale, MAX_RATIO * scale, maxRate, maxRate * MIN_RATE_PART);
     // Work inside a quota passes while no more is in flight than usual: other work is the cause.
     boolean idle = quotas.counts(r.request.tenant()) && readyLoad < usualInFlight * ready;
     if (own.totalOfSamples(now, Metric.ADMITTED, MIN_SAMPLES) >= allowed && (r.excess || !idle)) {
@@ -613,8 +606,8 @@
     scheduleCheck(r);
   }
 
-  /** Counts an answer that may have stopped as a failure and no longer as load, and makes another attempt; one that is
-   * being passed on is only no longer load. */
+  /** Counts an answer that may have stopped as a failure and no longer as load, and makes another attempt;
+   * one that is being passed on is only no longer load. */
   private void onAnswerStalled(PendingRequest r, int attempt) {
     Attempt a = r.attempts.get(attempt);
     if (r.streaming) {
