End an error whose body trickles at its client's time, without asking again and again

At the margin AnswerProgress went on to say PASS_ON: the check was due again at once, a busy loop until the core's own answer 20 ms behind the client's time, or without an end where attempts can't be cancelled. Change: what can't be passed on is declined. Test: errorWhoseBodyTricklesEndsWithItsClientsTime, no outcome within 30 s before; ERROR at its client's time after.

--- a/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/upstream/UpstreamAttempt.java
@@ -192,10 +192,7 @@
 
   /** Passes on what has arrived of the answer and what follows; returns false if that is not possible, also later. */
   public final boolean startPassingOn(PassOnReason reason) {
-    if (!canPassOn()) {
-      return false;
-    }
-    boolean started = passOn(reason);
+    boolean started = canPassOn() && passOn(reason);
     if (!started) {
       progress.passOnDeclined();
     }
--- a/src/test/java/pumicekeel/node/ConnectionPoolTest.java
+++ b/src/test/java/pumicekeel/node/ConnectionPoolTest.java
@@ -39,6 +39,11 @@
 
   private void send(
       UpstreamPool pool, String id, boolean maySend, UpstreamAttempt.Observer ending) {
+    send(pool, id, maySend, LONG_NANOS, ending);
+  }
+
+  private void send(
+      UpstreamPool pool, String id, boolean maySend, long nanos, UpstreamAttempt.Observer ending) {
     RequestClass type = new RequestClass(
         "look", Effect.SAFE, DedupScope.ALL, LONG_NANOS, LONG_NANOS, 0, LONG_NANOS, 1, 0, false);
     ClientRequest request = new ClientRequest(
@@ -51,8 +56,7 @@
         false,
         new Payload.Http(HttpMethod.GET, "/look", "h", null, new byte[0]),
         null);
-    pool.attempt(0, 1, 0, ending)
-        .start(request, LONG_NANOS, LONG_NANOS, () -> maySend, new Clock(), loop);
+    pool.attempt(0, 1, 0, ending).start(request, nanos, nanos, () -> maySend, new Clock(), loop);
   }
 
   private void attempt(UpstreamPool pool, boolean maySend) {
@@ -87,6 +91,24 @@
     }
   }
 
+  /** There is nothing to pass on of an error, and its end must not wait for its body. */
+  @Test
+  void errorWhoseBodyTricklesEndsWithItsClientsTime() throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, "HTTP/1.1 500 E\r\nContent-Length: 100000\r\n\r\n");
+      while (true) {
+        FakeServer.write(out, "x");
+        Thread.sleep(50);
+      }
+    })) {
+      UpstreamPool pool = of(pool(LONG_NANOS, 10), upstream.address());
+      long nanos = TimeUnit.MILLISECONDS.toNanos(500);
+      loop.execute(
+          () -> send(pool, "1", true, nanos, (attempt, status, answer) -> outcomes.add(status)));
+      assertEquals(Status.ERROR, outcome());
+    }
+  }
+
   /** The second copy arrives some milliseconds after the answer, when the next request would have been written. */
   @Test
   void delayedDuplicateAnswerIsNotTheNextRequestsAnswer() throws Exception {
