--- a/src/test/java/pumicekeel/node/LargeBodyTest.java
+++ b/src/test/java/pumicekeel/node/LargeBodyTest.java
@@ -404,7 +404,8 @@
 
   @Test
   void consumedBodyIsNotResentAndAnUntouchedOneGoesToAnotherUpstream() throws Exception {
-    // More than the sockets on the way hold: else all of it may be written before the upstream closes.
+    // More than the sockets on the way hold: else all of it may be written before the upstream
+    // closes.
     byte[] body = randomBytes(16 * MIB, 7);
     try (ServerSocket refuses = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         ByteUpstream upstream = new ByteUpstream((head, sent, connection) -> connection
