Test that an answer that has begun goes before a final answer made here

Need: has BalancerCore pass on a begun answer where the module fails or refuses its request, as a loop that is late over the margin makes it, and ignore its cancel; no test held that. Test: a module that gives up and cancels at AnswerStalled, by Fail and by Refuse, with a real upstream whose body comes later. With the two guards of BalancerCore taken out: 'failed' in place of 'begun'. With them it passes. TestClient reads a head in one place, not in two.

--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -4,24 +4,32 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import pumicekeel.Balancer;
 import pumicekeel.Balancer.Action;
+import pumicekeel.Balancer.AnswerStalled;
+import pumicekeel.Balancer.Cancel;
 import pumicekeel.Balancer.Event;
+import pumicekeel.Balancer.Fail;
 import pumicekeel.Balancer.FetchList;
 import pumicekeel.Balancer.ListUpdate;
 import pumicekeel.Balancer.Outcome;
+import pumicekeel.Balancer.Refuse;
 import pumicekeel.Balancer.Request;
 import pumicekeel.Balancer.Send;
 import pumicekeel.Balancer.State;
@@ -29,8 +37,11 @@
 import pumicekeel.adapter.Decoder;
 import pumicekeel.adapter.Fields;
 import pumicekeel.call.Answer;
+import pumicekeel.call.AnswerStart;
+import pumicekeel.call.BodySink;
 import pumicekeel.call.Client;
 import pumicekeel.call.ClientRequest;
+import pumicekeel.call.FlowControl;
 import pumicekeel.core.BalancerCore;
 import pumicekeel.discovery.HostList;
 import pumicekeel.runtime.LoopLag;
@@ -47,6 +58,9 @@
   private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
   private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
   private final BlockingQueue<RuntimeException> defects = new LinkedBlockingQueue<>();
+  /** Whether the client accepts an answer before it is whole. */
+  private volatile boolean streams;
+
   private volatile boolean nested;
   private volatile boolean handling;
   private BalancerCore core;
@@ -72,6 +86,33 @@
     public void failed() {
       answers.add("failed");
     }
+
+    @Override
+    public BodySink beginStream(AnswerStart start, FlowControl source) {
+      if (!streams) {
+        return null;
+      }
+      answers.add("begun");
+      return new BodySink() {
+        @Override
+        public void onChunk(ByteBuf bytes) {
+          if (bytes.isReadable()) {
+            answers.add("chunk " + bytes.toString(StandardCharsets.US_ASCII));
+          }
+          bytes.release();
+        }
+
+        @Override
+        public void onComplete() {
+          answers.add("complete");
+        }
+
+        @Override
+        public void onTruncated() {
+          answers.add("truncated");
+        }
+      };
+    }
   };
 
   private void start(Module module, FakeServer... upstreams) throws Exception {
@@ -260,6 +301,37 @@
     assertEquals("refused", answer());
   }
 
+  /** The module gives up, and cancels, while an answer is arriving: as where the loop was late over the margin before its client's time. */
+  @Test
+  void answerThatHasBegunIsPassedOnInPlaceOfAFinalAnswerMadeHere() throws Exception {
+    List<Function<String, Action>> finalAnswers = List.of(Fail::new, id -> new Refuse(id, 0));
+    for (int i = 0; i < finalAnswers.size(); i++) {
+      Function<String, Action> finalAnswer = finalAnswers.get(i);
+      CountDownLatch begun = new CountDownLatch(1);
+      try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+        FakeServer.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+        assertTrue(begun.await(30, TimeUnit.SECONDS));
+        FakeServer.write(out, "late");
+      })) {
+        start(
+            (event, out) -> {
+              sendOnRequest(event, out);
+              if (event instanceof AnswerStalled stalled) {
+                out.accept(finalAnswer.apply(stalled.id()));
+                out.accept(new Cancel(stalled.id(), stalled.attempt()));
+              }
+            },
+            upstream);
+        streams = true;
+        admit("s" + i, "look", 15_000);
+        assertEquals("begun", answer());
+        begun.countDown();
+        assertEquals("chunk late", answer());
+        assertEquals("complete", answer());
+      }
+    }
+  }
+
   @Test
   void resetIsStaleOnAKeptConnectionAndNotOnANewOne() throws Exception {
     AtomicBoolean broken = new AtomicBoolean();
--- a/src/test/java/pumicekeel/node/TestClient.java
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -39,11 +39,8 @@
     return read(new StringBuilder().append(first));
   }
 
-  private Reply read(StringBuilder head) throws IOException {
-    while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
-      head.append((char) in.readUnsignedByte());
-    }
-    String lower = head.toString().toLowerCase();
+  private Reply read(StringBuilder begun) throws IOException {
+    String lower = readHead(begun);
     int at = lower.indexOf("content-length:") + 15;
     byte[] body =
         new byte[Integer.parseInt(lower.substring(at, lower.indexOf('\r', at)).trim())];
@@ -54,7 +51,10 @@
 
   /** Reads the head of an answer, in lower case. */
   String readHead() throws IOException {
-    StringBuilder head = new StringBuilder();
+    return readHead(new StringBuilder());
+  }
+
+  private String readHead(StringBuilder head) throws IOException {
     while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
       head.append((char) in.readUnsignedByte());
     }
